--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,900 @@
+//! Every decision of loomflow, top to bottom: constants, state, event dispatch, send share, running limit,
+//! hold, calls, guards, leaving. Settings, events and actions are in `src/interface.rs`.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::interface::*;
+
+// ---- Constants. Shares and multiples of what a server is told or measures, never a site's figure. ----
+
+/// The timer that answers what falls due and feeds the controller, ms.
+const BEAT: f64 = 50.0;
+/// Sample period of the send share and of the limit's cut, as a part of the time callers heed a share.
+const PERIOD: f64 = 0.25;
+/// Setpoint of the mean hold time, as a part of the shortest class aim.
+const SETPOINT: f64 = 0.15;
+const KP: f64 = 0.4;
+/// Per second.
+const KI: f64 = 0.3;
+/// Seconds.
+const KD: f64 = 0.05;
+const SHARE_FLOOR: f64 = 0.05;
+/// Largest change of the share between two outputs.
+const STEP: f64 = 0.2;
+/// The limit is cut to this part of itself.
+const CUT: f64 = 0.8;
+/// Cores busier than this are near full.
+const NEAR_FULL: f64 = 0.95;
+/// Part of the told share of calls that is used: the fleet dies of the mean reaching the whole.
+const CALLS_USED: f64 = 0.85;
+/// Part of the surviving crowd that the module itself will fill; the rest is for reading and surprises.
+const CROWD_USED: f64 = 0.7;
+/// Weight of the newest sample in running means.
+const LEARN: f64 = 0.1;
+/// A request is hopeless only when even this part of its expected service no longer fits.
+const OPTIMISM: f64 = 0.6;
+/// A repeatable call is abandoned after this multiple of the usual call, or half the time left if longer.
+const PATIENCE: f64 = 4.0;
+/// Calls that may be repeated are issued at most so often.
+const CALL_TRIES: u32 = 4;
+/// Seconds of quota that a tenant may send at once and still be within its share.
+const QUOTA_BURST: f64 = 2.0;
+
+// ---- State ----
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Held,
+    /// Waits for, or is served from, the result of another request.
+    Reusing,
+    Running,
+    /// Off the cores, without its call so far.
+    NeedsCall,
+    Calling,
+}
+
+struct Request {
+    class: usize,
+    kb: f64,
+    read_at: f64,
+    due: f64,
+    /// Answered by then it earns in full; once that is out of reach and a late answer earns, `due`.
+    aim_at: f64,
+    late: bool,
+    over_share: bool,
+    /// Expected time on the cores and at the disk, and for all of it with its calls.
+    run_time: f64,
+    key: HoldKey,
+    stage: Stage,
+    answered: bool,
+    held_for: f64,
+    /// When it left the cores for its call; time spent off them so far; calls issued.
+    off_since: f64,
+    off_time: f64,
+    calls: u32,
+    /// Its estimated work over its class's mean.
+    scale: f64,
+}
+
+/// Order of the hold: most worth per unit of work first, then the nearest aim.
+type HoldKey = (i64, i64, RequestId);
+
+#[derive(Clone, Copy, Default)]
+struct Mean {
+    value: f64,
+    samples: u32,
+}
+
+impl Mean {
+    fn add(&mut self, sample: f64) {
+        self.samples = self.samples.saturating_add(1);
+        self.value += (sample - self.value) * LEARN.max(1.0 / f64::from(self.samples));
+    }
+}
+
+/// What the runs of a class have shown.
+#[derive(Clone, Copy, Default)]
+struct Learned {
+    run: Mean,
+    off: Mean,
+    work: Mean,
+}
+
+impl Learned {
+    /// What an estimate says of a request against the mean of its class; 1 where there is none.
+    fn scale(&mut self, work: Option<f64>) -> f64 {
+        let Some(work) = work else { return 1.0 };
+        self.work.add(work);
+        work / self.work.value
+    }
+}
+
+pub struct Choice {
+    set: Settings,
+    now: f64,
+    born: f64,
+    rng: u64,
+    requests: BTreeMap<RequestId, Request>,
+    hold: BTreeSet<HoldKey>,
+    /// The next moment at which each request must be looked at.
+    looks: BTreeSet<(i64, RequestId)>,
+    /// Sum of `run_time` over the hold.
+    hold_work: f64,
+    running: f64,
+    share: SendShare,
+    limit: RunLimit,
+    calls: Calls,
+    table: KeyTable,
+    learned: Vec<Learned>,
+    call_time: Mean,
+    quotas: Vec<(f64, f64)>,
+    gauges: Gauges,
+    kb_held: f64,
+    kb_running: f64,
+    kb_largest: f64,
+    leaving: Option<Leaving>,
+    next_beat: f64,
+}
+
+#[derive(Clone, Copy)]
+struct Leaving {
+    run_until: f64,
+    answer_by: f64,
+}
+
+fn us(ms: f64) -> i64 {
+    (ms * 1000.0) as i64
+}
+
+// ---- Event dispatch ----
+
+impl Choice {
+    pub fn new(set: Settings, seed: u64, now: f64) -> Choice {
+        let shortest = set.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
+        let period = if set.heeded > 0.0 { set.heeded * PERIOD } else { 1000.0 * PERIOD };
+        Choice {
+            now,
+            born: now,
+            rng: seed ^ 0x9E37_79B9_7F4A_7C15,
+            requests: BTreeMap::new(),
+            hold: BTreeSet::new(),
+            looks: BTreeSet::new(),
+            hold_work: 0.0,
+            running: 0.0,
+            share: SendShare::new(shortest * SETPOINT, period, now),
+            limit: RunLimit { value: set.cores, cut_at: now, period },
+            calls: Calls::new(set.call_share * CALLS_USED, set.call_span, now),
+            table: KeyTable::default(),
+            learned: vec![Learned::default(); set.classes.len()],
+            call_time: Mean::default(),
+            quotas: set.tenants.iter().map(|t| (t.quota_per_s, now)).collect(),
+            gauges: Gauges::default(),
+            kb_held: 0.0,
+            kb_running: 0.0,
+            kb_largest: 0.0,
+            leaving: None,
+            next_beat: f64::NEG_INFINITY,
+            set,
+        }
+    }
+
+    pub fn settings(&self) -> &Settings {
+        &self.set
+    }
+
+    /// Takes in one event. Only what cannot wait for the end of the batch is answered here.
+    pub fn event(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
+        self.now = now;
+        match event {
+            Event::Arrived(arrival) => self.arrived(arrival, out),
+            Event::CallerGone(id) => self.caller_gone(id, out),
+            Event::TimerFired(gauges) => self.gauges = gauges,
+            Event::NeedsCall(id) => self.needs_call(id),
+            Event::CallEnded { id, outcome, took } => self.call_ended(id, outcome, took, out),
+            Event::RunEnded { id, outcome, took } => self.run_ended(id, outcome, took),
+            Event::Leaving { left } => self.leave(left, out),
+        }
+    }
+
+    /// Ends a batch: answers what is due, then fills the calls and the cores.
+    pub fn decide(&mut self, now: f64, out: &mut Vec<Action>) {
+        self.now = now;
+        if self.next_beat == f64::NEG_INFINITY {
+            // Stored answers keep checks cheap; that a process answers at all is the rest of the news.
+            out.push(Action::Health { good: true, stored: true });
+        }
+        if now >= self.next_beat {
+            self.next_beat = now + BEAT;
+            out.push(Action::WakeAt(self.next_beat));
+            self.look_at_due(out);
+            self.calls.advance(now);
+            self.table.expire(now - self.set.tick);
+            self.tell_share(out);
+        }
+        self.trim(out);
+        self.issue_calls(out);
+        self.start_runs(out);
+        self.guard_memory(out);
+    }
+
+    fn arrived(&mut self, a: Arrival, out: &mut Vec<Action>) {
+        let Some(class) = self.set.classes.get(a.class).cloned() else {
+            out.push(Action::Fail(a.id));
+            return;
+        };
+        let reached = self.now - a.age;
+        let mut due = if self.set.tells_wait { self.now + a.wait_left } else { reached + class.give_up };
+        if let Some(leaving) = self.leaving {
+            due = due.min(leaving.answer_by);
+        }
+        due = due.max(self.now);
+        let stretch = class.aim_stretch * a.work.unwrap_or(0.0);
+        self.kb_largest = self.kb_largest.max(a.kb);
+        let over_share = self.over_share(a.tenant);
+        let learned = &mut self.learned[a.class];
+        let scale = learned.scale(a.work);
+        let mut request = Request {
+            class: a.class,
+            kb: a.kb,
+            read_at: self.now,
+            due,
+            aim_at: (reached + class.aim + stretch).min(due),
+            late: false,
+            over_share,
+            run_time: learned.run.value * scale,
+            key: (0, 0, a.id),
+            stage: Stage::Held,
+            answered: false,
+            held_for: 0.0,
+            off_since: 0.0,
+            off_time: 0.0,
+            calls: 0,
+            scale,
+        };
+        // Rule 2. A repeat of what may have run is never run itself: it shares that run's result.
+        let repeats = a.repeats.is_some() && (class.effect == Effect::Keyed || self.set.fresh > 0.0);
+        if due - self.now <= self.margin() {
+            out.push(if repeats { Action::Fail(a.id) } else { self.refusal(a.id, false) });
+            return;
+        }
+        self.kb_held += a.kb;
+        if repeats {
+            request.stage = Stage::Reusing;
+            self.looks.insert((us(due - self.margin()), a.id));
+            self.requests.insert(a.id, request);
+            out.push(Action::Reuse(a.id));
+            return;
+        }
+        // Rule 3. What came past the grace is given back at once, to be tried where there is time.
+        let too_late = self.leaving.is_some_and(|l| reached > l.run_until);
+        // Rule 2. No run without an entry that connects later tries to it, and no entry without room for it.
+        let keyed = class.effect == Effect::Keyed;
+        let no_entry = keyed && self.memory_used() + self.set.entry_kb > self.memory_room();
+        if too_late || no_entry {
+            self.kb_held -= a.kb;
+            out.push(self.refusal(a.id, false));
+            return;
+        }
+        if keyed || (self.set.fresh > 0.0 && class.effect == Effect::Safe) {
+            let span = if keyed { class.window - a.age } else { self.set.fresh };
+            let span = span.max(0.0) + 2.0 * self.set.tick;
+            self.table.add(a.id, self.now + span);
+            out.push(Action::Remember { id: a.id, span });
+        }
+        self.requests.insert(a.id, request);
+        self.enter_hold(a.id);
+    }
+
+    fn caller_gone(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.answered = true;
+        match request.stage {
+            Stage::Held => {
+                self.table.remove(id, out);
+                self.forget(id);
+            }
+            Stage::Reusing => {
+                self.forget(id);
+            }
+            // Work for nobody is stopped where that is possible.
+            Stage::Running => self.stop(id, out),
+            Stage::NeedsCall | Stage::Calling => self.calls.waiting_off(request.key),
+        }
+    }
+
+    fn run_ended(&mut self, id: RequestId, outcome: Outcome, took: f64) {
+        let Some(request) = self.forget(id) else { return };
+        if request.stage == Stage::Calling {
+            // Answered meanwhile: its call is abandoned with it, and may linger below.
+            self.calls.linger(self.now + self.set.call_lingers);
+        }
+        if request.stage == Stage::Reusing || !matches!(outcome, Outcome::Ok | Outcome::Error) {
+            return;
+        }
+        let own = (took - request.off_time).max(0.0);
+        let learned = &mut self.learned[request.class];
+        if outcome == Outcome::Ok {
+            learned.run.add(own / request.scale);
+            learned.off.add(request.off_time);
+        }
+        self.share.finished(request.held_for);
+        let aim = self.set.classes[request.class].aim;
+        let held = !self.hold.is_empty();
+        self.limit.finished(self.now, own > aim, held, &self.gauges, self.set.cores);
+    }
+
+    /// Takes a request out of every account.
+    fn forget(&mut self, id: RequestId) -> Option<Request> {
+        let request = self.requests.remove(&id)?;
+        match request.stage {
+            Stage::Held => {
+                self.hold.remove(&request.key);
+                self.hold_work -= request.run_time;
+                self.kb_held -= request.kb;
+            }
+            Stage::Reusing => self.kb_held -= request.kb,
+            Stage::Running => {
+                self.running -= 1.0;
+                self.kb_running -= request.kb;
+            }
+            Stage::NeedsCall | Stage::Calling => {
+                self.calls.waiting_off(request.key);
+                if request.stage == Stage::Calling {
+                    self.calls.in_hand -= 1.0;
+                }
+                self.kb_running -= request.kb;
+            }
+        }
+        Some(request)
+    }
+}
+
+// ---- The send share: a PID loop on hold time ----
+
+struct SendShare {
+    setpoint: f64,
+    period: f64,
+    sampled_at: f64,
+    hold_sum: f64,
+    finished: f64,
+    integral: f64,
+    error: f64,
+    value: f64,
+    told: f64,
+}
+
+impl SendShare {
+    fn new(setpoint: f64, period: f64, now: f64) -> SendShare {
+        let (hold_sum, finished, integral, error) = (0.0, 0.0, 0.0, 0.0);
+        SendShare {
+            setpoint,
+            period,
+            sampled_at: now,
+            hold_sum,
+            finished,
+            integral,
+            error,
+            value: 1.0,
+            told: 1.0,
+        }
+    }
+
+    fn finished(&mut self, held_for: f64) {
+        self.hold_sum += held_for;
+        self.finished += 1.0;
+    }
+
+    fn sample(&mut self, now: f64, oldest_held: f64) {
+        let dt = (now - self.sampled_at) / 1000.0;
+        let delay = if self.finished > 0.0 { self.hold_sum / self.finished } else { oldest_held };
+        let error = (self.setpoint - delay) / self.setpoint;
+        let integral = self.integral + error * dt;
+        let raw = |integral: f64| 1.0 + KP * error + KI * integral + KD * (error - self.error) / dt;
+        // Frozen at a clamp: the integral moves only where that keeps the output inside or brings it back.
+        let wanted = raw(integral);
+        if (wanted < 1.0 || error < 0.0) && (wanted > SHARE_FLOOR || error > 0.0) {
+            self.integral = integral;
+        }
+        let wanted = raw(self.integral).clamp(self.value - STEP, self.value + STEP);
+        self.value = wanted.clamp(SHARE_FLOOR, 1.0);
+        (self.error, self.sampled_at, self.hold_sum, self.finished) = (error, now, 0.0, 0.0);
+    }
+}
+
+impl Choice {
+    fn tell_share(&mut self, out: &mut Vec<Action>) {
+        if self.now - self.share.sampled_at < self.share.period || self.leaving.is_some() {
+            return;
+        }
+        let oldest = if self.share.finished > 0.0 {
+            0.0
+        } else {
+            let held = self.hold.iter().filter_map(|k| self.requests.get(&k.2));
+            held.fold(0.0, |oldest: f64, r| oldest.max(self.now - r.read_at))
+        };
+        self.share.sample(self.now, oldest);
+        // A cold server asks for no more than its part of the speed.
+        let value = self.share.value.min(self.speed_share()).max(SHARE_FLOOR);
+        if (value - self.share.told).abs() >= 0.01 || (value == 1.0 && self.share.told != 1.0) {
+            self.share.told = value;
+            self.tell(value, out);
+        }
+    }
+
+    fn tell(&self, share: f64, out: &mut Vec<Action>) {
+        match self.set.signal {
+            Signal::Unused => {}
+            Signal::SendShare => out.push(Action::Tell(share)),
+            Signal::LowestRank => out.push(Action::Tell(1.0 - share)),
+            Signal::Credit => {
+                let room = self.set.cores * self.set.crowd / self.set.callers.max(1.0);
+                out.push(Action::Tell(share * room));
+            }
+        }
+    }
+
+    /// The share of its full speed that a server has at least.
+    fn speed_share(&self) -> f64 {
+        let warmed = if self.set.cold_span > 0.0 { (self.now - self.born) / self.set.cold_span } else { 1.0 };
+        if !self.set.cold || warmed >= 1.0 {
+            return 1.0;
+        }
+        self.set.cold_share + (1.0 - self.set.cold_share) * warmed
+    }
+}
+
+// ---- The running limit ----
+
+struct RunLimit {
+    value: f64,
+    cut_at: f64,
+    period: f64,
+}
+
+impl RunLimit {
+    fn finished(&mut self, now: f64, past_aim: bool, work_held: bool, gauges: &Gauges, cores: f64) {
+        let near_full = gauges.core_use.is_some_and(|u| u >= NEAR_FULL);
+        if near_full && past_aim && now - self.cut_at >= self.period {
+            self.cut_at = now;
+            self.value = (self.value * CUT).max(cores);
+        } else if work_held && gauges.on_cores.is_some_and(|n| n < cores) {
+            self.value += 1.0;
+        }
+    }
+}
+
+impl Choice {
+    /// Rule 4. The crowd that this server survives just now, less the calls that may come back unasked.
+    fn crowd_room(&self) -> f64 {
+        let survives = self.set.cores * (1.0 + (self.set.crowd - 1.0) * self.speed_share());
+        (survives * CROWD_USED - self.calls.in_hand).max(1.0)
+    }
+
+    fn start_runs(&mut self, out: &mut Vec<Action>) {
+        self.limit.value = self.limit.value.min(self.set.cores * self.set.crowd * CROWD_USED);
+        loop {
+            let counted = self.running + self.calls.waiting();
+            if counted >= self.limit.value || self.running >= self.crowd_room() {
+                return;
+            }
+            let Some(&(_, _, id)) = self.hold.first() else { return };
+            if self.hopeless(id, 0.0) {
+                self.late_or_never(id, out);
+                continue;
+            }
+            let now = self.now;
+            let room = self.memory_room() - self.memory_used();
+            let Some(request) = self.requests.get_mut(&id) else { return };
+            if request.kb * (self.set.run_memory - 1.0) > room {
+                return;
+            }
+            self.hold.remove(&request.key);
+            self.hold_work -= request.run_time;
+            self.kb_held -= request.kb;
+            self.kb_running += request.kb;
+            self.running += 1.0;
+            request.stage = Stage::Running;
+            request.held_for = now - request.read_at;
+            out.push(Action::Run(id));
+        }
+    }
+}
+
+// ---- The hold: order, hope and refusals ----
+
+impl Choice {
+    fn enter_hold(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let class = &self.set.classes[request.class];
+        let mut worth = class.worth;
+        if request.over_share {
+            worth *= self.set.over_share_worth;
+        }
+        if request.late {
+            worth *= class.late_worth;
+        }
+        if !self.set.worth_by_work && request.run_time > 0.0 {
+            worth /= request.run_time;
+        }
+        let level = if worth > 0.0 { (worth.log2() * 2.0).round() as i64 } else { i64::MIN + 1 };
+        request.key = (-level, us(request.aim_at), id);
+        self.hold.insert(request.key);
+        self.hold_work += request.run_time;
+        let look = request.aim_at - OPTIMISM * (request.run_time + self.learned[request.class].off.value);
+        self.looks.insert((us(look.min(request.due - self.margin())), id));
+    }
+
+    /// Whether a held request, begun after `wait`, can no longer be answered in time to earn.
+    fn hopeless(&self, id: RequestId, wait: f64) -> bool {
+        let Some(r) = self.requests.get(&id) else { return false };
+        let need = OPTIMISM * (r.run_time + self.learned[r.class].off.value);
+        self.now + wait + need >= r.aim_at
+    }
+
+    /// A held request that misses its aim waits for a late answer's worth, if there is one, or is turned away.
+    fn late_or_never(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        if request.late || self.set.classes[request.class].late_worth <= 0.0 {
+            self.give_up(id, true, out);
+            return;
+        }
+        self.hold.remove(&request.key);
+        self.hold_work -= request.run_time;
+        request.late = true;
+        request.aim_at = request.due - BEAT;
+        self.enter_hold(id);
+    }
+
+    /// Turns away from the low end of the hold what could not be reached in time at the present rate.
+    fn trim(&mut self, out: &mut Vec<Action>) {
+        while let Some(&(_, _, id)) = self.hold.last() {
+            let wait = self.hold_work / self.limit.value;
+            if !self.hopeless(id, wait) {
+                return;
+            }
+            self.late_or_never(id, out);
+        }
+    }
+
+    /// The final answer to a request that is not going to be served, at once, and an end to its work.
+    fn give_up(&mut self, id: RequestId, last: bool, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let safe = self.set.classes[request.class].effect == Effect::Safe;
+        let stage = request.stage;
+        request.answered = true;
+        match stage {
+            Stage::Held => {
+                out.push(self.refusal(id, last));
+                self.table.remove(id, out);
+                self.forget(id);
+            }
+            Stage::Reusing => {
+                out.push(Action::Fail(id));
+                self.forget(id);
+            }
+            Stage::Running => {
+                out.push(if safe { self.refusal(id, true) } else { Action::Fail(id) });
+                self.stop(id, out);
+            }
+            Stage::NeedsCall | Stage::Calling => {
+                self.calls.waiting_off(request.key);
+                out.push(Action::Fail(id));
+            }
+        }
+    }
+
+    fn stop(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        if self.set.stopping != Stopping::Impossible {
+            out.push(Action::Stop(id));
+        }
+    }
+
+    /// Turned away, with advice to stay away until the work in hand should be done.
+    fn refusal(&mut self, id: RequestId, last: bool) -> Action {
+        self.rng = self.rng.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        let spread = 0.75 + 0.5 * ((self.rng >> 40) as f64 / (1u64 << 24) as f64);
+        let wait = if self.leaving.is_some() { f64::MAX } else { self.hold_work / self.limit.value * spread };
+        Action::Refuse { id, pause: wait.min(self.set.longest_pause), last }
+    }
+
+    /// Whether a tenant sends beyond this server's even part of its quota.
+    fn over_share(&mut self, tenant: usize) -> bool {
+        let (Some(told), Some((left, at))) = (self.set.tenants.get(tenant), self.quotas.get_mut(tenant))
+        else {
+            return false;
+        };
+        let rate = told.quota_per_s / self.set.servers.max(1.0);
+        if rate <= 0.0 || self.set.tier > 0 {
+            return false;
+        }
+        *left = (*left + rate * (self.now - *at) / 1000.0).min((rate * QUOTA_BURST).max(1.0));
+        *at = self.now;
+        let over = *left < 1.0;
+        if !over {
+            *left -= 1.0;
+        }
+        over
+    }
+}
+
+// ---- Calls below ----
+
+struct Calls {
+    /// Requests off the cores that wait for a call, in the order of the hold, and those to be tried later.
+    queue: BTreeSet<HoldKey>,
+    later: BTreeMap<HoldKey, f64>,
+    in_hand: f64,
+    /// When abandoned calls leave the dependency's hands at the latest.
+    lingering: Vec<f64>,
+    /// Call time that the fraction of a permit still allows, ms.
+    credit: f64,
+    at: f64,
+    share: f64,
+    span: f64,
+}
+
+impl Calls {
+    fn new(share: f64, span: f64, now: f64) -> Calls {
+        let (queue, later, lingering) = (BTreeSet::new(), BTreeMap::new(), Vec::new());
+        Calls { queue, later, in_hand: 0.0, lingering, credit: 0.0, at: now, share, span }
+    }
+
+    fn waiting(&self) -> f64 {
+        (self.queue.len() + self.later.len()) as f64
+    }
+
+    fn waiting_off(&mut self, key: HoldKey) {
+        self.queue.remove(&key);
+        self.later.remove(&key);
+    }
+
+    fn linger(&mut self, until: f64) {
+        self.lingering.push(until);
+    }
+
+    fn all_in_hand(&self) -> f64 {
+        self.in_hand + self.lingering.len() as f64
+    }
+
+    /// The part of a permit beyond the whole ones is lent out only for that part of the time.
+    fn advance(&mut self, now: f64) {
+        let (share, span) = (self.share, self.span);
+        let beyond = (self.all_in_hand() - share.floor()).max(0.0);
+        self.credit =
+            (self.credit + (share.fract() - beyond) * (now - self.at)).clamp(-span, share.fract() * span);
+        self.at = now;
+        self.lingering.retain(|until| *until > now);
+        let ready: Vec<HoldKey> = self.later.iter().filter(|(_, at)| **at <= now).map(|(k, _)| *k).collect();
+        for key in ready {
+            self.later.remove(&key);
+            self.queue.insert(key);
+        }
+    }
+}
+
+impl Choice {
+    fn needs_call(&mut self, id: RequestId) {
+        let now = self.now;
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        if request.stage != Stage::Running || request.answered {
+            return;
+        }
+        request.stage = Stage::NeedsCall;
+        request.off_since = now;
+        request.calls = 0;
+        self.running -= 1.0;
+        self.calls.queue.insert(request.key);
+    }
+
+    /// How many calls may be in hand at once.
+    fn permits(&self) -> f64 {
+        match self.set.below {
+            Below::Nothing => 0.0,
+            Below::Tier => self.set.cores,
+            Below::Shared => {
+                let whole = self.calls.share.floor();
+                let lent = self.calls.credit > 0.0 && self.calls.share.fract() > 0.0;
+                if lent { whole + 1.0 } else { whole }
+            }
+        }
+    }
+
+    fn issue_calls(&mut self, out: &mut Vec<Action>) {
+        if self.calls.queue.is_empty() {
+            return;
+        }
+        self.calls.advance(self.now);
+        let permits = self.permits();
+        while let Some(&key) = self.calls.queue.first() {
+            if self.calls.all_in_hand() >= permits {
+                break;
+            }
+            self.calls.queue.remove(&key);
+            let abandon_at = self.abandon_at(key.2);
+            let Some(request) = self.requests.get_mut(&key.2) else { continue };
+            request.stage = Stage::Calling;
+            request.calls += 1;
+            self.calls.in_hand += 1.0;
+            out.push(Action::Call { id: key.2, abandon_at });
+        }
+        // Who could not get a permit in time goes on without its call, where that earns something.
+        while let Some(&key) = self.calls.queue.last() {
+            let Some(request) = self.requests.get(&key.2) else { break };
+            let turns = (self.calls.queue.len() as f64 / permits.max(1.0)).ceil() + 1.0;
+            let in_time =
+                self.now + turns * self.call_time.value + OPTIMISM * request.run_time < request.aim_at;
+            if in_time || !self.skip(key.2, out) {
+                break;
+            }
+        }
+    }
+
+    /// A call that may be repeated is abandoned while there is time for another; any other has all the time.
+    fn abandon_at(&self, id: RequestId) -> f64 {
+        let Some(r) = self.requests.get(&id) else { return self.now };
+        let class = &self.set.classes[r.class];
+        let last = r.due - self.margin();
+        if class.effect != Effect::Safe || self.call_time.samples == 0 {
+            return last;
+        }
+        let patience = (PATIENCE * self.call_time.value).max((r.aim_at - self.now) / 2.0);
+        (self.now + patience).min(last).max(self.now + self.set.tick)
+    }
+
+    fn call_ended(&mut self, id: RequestId, outcome: Outcome, took: f64, out: &mut Vec<Action>) {
+        let (now, margin) = (self.now, self.margin());
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        if request.stage != Stage::Calling {
+            return;
+        }
+        self.calls.in_hand -= 1.0;
+        if outcome == Outcome::Ok {
+            self.call_time.add(took);
+            request.stage = Stage::Running;
+            request.off_time += now - request.off_since;
+            self.running += 1.0;
+            return;
+        }
+        request.stage = Stage::NeedsCall;
+        if matches!(outcome, Outcome::TimedOut | Outcome::Broken) {
+            self.calls.linger(now + self.set.call_lingers);
+        }
+        if request.answered {
+            return;
+        }
+        // Rule 2. Only a call that is known not to have run, or that may run twice, is made again.
+        let safe = self.set.classes[request.class].effect == Effect::Safe;
+        let never_ran = matches!(outcome, Outcome::Rejected | Outcome::Unreachable | Outcome::Moot);
+        let pause = self.call_time.value.max(self.set.tick) * f64::from(1u32 << request.calls.min(5)) / 2.0;
+        let in_time = now + pause + self.call_time.value < request.due - margin;
+        if (safe || never_ran) && in_time && request.calls < CALL_TRIES {
+            self.calls.later.insert(request.key, now + pause);
+        } else if !self.skip(id, out) {
+            self.give_up(id, false, out);
+        }
+    }
+
+    fn skip(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
+        let now = self.now;
+        let Some(request) = self.requests.get_mut(&id) else { return false };
+        if self.set.classes[request.class].skip_worth <= 0.0 || request.stage != Stage::NeedsCall {
+            return false;
+        }
+        self.calls.waiting_off(request.key);
+        request.stage = Stage::Running;
+        request.off_time += now - request.off_since;
+        self.running += 1.0;
+        out.push(Action::SkipCall(id));
+        true
+    }
+}
+
+// ---- Guards: due times and memory ----
+
+impl Choice {
+    /// Answers are given so long before they are due: one beat, and room for a late timer.
+    fn margin(&self) -> f64 {
+        BEAT + 2.0 * self.set.tick
+    }
+
+    /// Rule 1. Looks at each request when its aim slips out of reach and before it is due.
+    fn look_at_due(&mut self, out: &mut Vec<Action>) {
+        while let Some(&(at, id)) = self.looks.first() {
+            if at > us(self.now) {
+                return;
+            }
+            self.looks.pop_first();
+            let Some(r) = self.requests.get(&id).filter(|r| !r.answered) else { continue };
+            let last_look = r.due - self.margin();
+            if self.now >= last_look {
+                self.give_up(id, false, out);
+            } else if r.stage == Stage::Held {
+                if self.hopeless(id, 0.0) {
+                    self.late_or_never(id, out);
+                } else {
+                    self.looks.insert((us(last_look), id));
+                }
+            } else {
+                self.looks.insert((us(last_look), id));
+            }
+        }
+    }
+
+    fn memory_used(&self) -> f64 {
+        self.kb_held + self.kb_running * self.set.run_memory + self.table.len() * self.set.entry_kb
+    }
+
+    /// Memory that may be filled: the rest is for what the next batch brings, one read a core.
+    fn memory_room(&self) -> f64 {
+        self.set.memory_kb - 2.0 * self.set.cores * self.kb_largest
+    }
+
+    /// Rule 4. What is held gives way before memory runs out.
+    fn guard_memory(&mut self, out: &mut Vec<Action>) {
+        while self.memory_used() > self.memory_room() {
+            let Some(&(_, _, id)) = self.hold.last() else { return };
+            self.give_up(id, false, out);
+        }
+    }
+}
+
+/// Entries that connect later tries to the one that ran here.
+#[derive(Default)]
+struct KeyTable {
+    until: BTreeMap<RequestId, i64>,
+    expiry: BTreeSet<(i64, RequestId)>,
+}
+
+impl KeyTable {
+    fn len(&self) -> f64 {
+        self.until.len() as f64
+    }
+
+    fn add(&mut self, id: RequestId, until: f64) {
+        self.until.insert(id, us(until));
+        self.expiry.insert((us(until), id));
+    }
+
+    /// Frees the entry of a request that never ran.
+    fn remove(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        if let Some(until) = self.until.remove(&id) {
+            self.expiry.remove(&(until, id));
+            out.push(Action::Forget(id));
+        }
+    }
+
+    fn expire(&mut self, now: f64) {
+        while let Some(&(until, id)) = self.expiry.first().filter(|(until, _)| *until < us(now)) {
+            self.expiry.remove(&(until, id));
+            self.until.remove(&id);
+        }
+    }
+}
+
+// ---- Leaving ----
+
+impl Choice {
+    /// Rule 3. Everything read is answered a margin before the stop; callers are asked to go elsewhere.
+    fn leave(&mut self, left: f64, out: &mut Vec<Action>) {
+        let answer_by = self.now + left - self.margin() - self.set.answer_slack;
+        self.leaving = Some(Leaving { run_until: self.now + self.set.drain_grace, answer_by });
+        out.push(Action::Health { good: false, stored: true });
+        self.tell(0.0, out);
+        let ids: Vec<RequestId> = self.requests.keys().copied().collect();
+        for id in ids {
+            let margin = self.margin();
+            let Some(r) = self.requests.get_mut(&id) else { continue };
+            if r.due <= answer_by {
+                continue;
+            }
+            r.due = answer_by;
+            self.looks.insert((us(answer_by - margin), id));
+            if r.stage == Stage::Held {
+                self.hold.remove(&r.key);
+                self.hold_work -= r.run_time;
+                r.aim_at = r.aim_at.min(answer_by);
+                self.enter_hold(id);
+            }
+        }
+    }
+}
