--- a/src/choice.rs
+++ b/src/choice.rs
@@ -531,7 +531,7 @@
         self.now + wait + need >= r.aim_at
     }
 
-    /// A held request that misses its aim waits for a late answer's worth, if there is one, or is turned away.
+    /// A held request that misses its aim waits on for a late answer, if that earns, or is turned away.
     fn late_or_never(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         if request.late || self.set.classes[request.class].late_worth <= 0.0 {
