--- a/src/choice.rs
+++ b/src/choice.rs
@@ -163,7 +163,7 @@
             running: 0.0,
             share: SendShare::new(shortest * SETPOINT, period, now),
             limit: RunLimit { value: set.cores, cut_at: now, period },
-            calls: Calls::new(set.call_share * CALLS_USED, set.call_span, now),
+            calls: Calls::new(set.cores, set.call_share * CALLS_USED, set.call_span, now),
             table: KeyTable::default(),
             learned: vec![Learned::default(); set.classes.len()],
             call_time: Mean::default(),
@@ -631,12 +631,26 @@
     at: f64,
     share: f64,
     span: f64,
+    /// Calls that may be in hand at once where below is a tier.
+    permits: f64,
+    cut_at: f64,
 }
 
 impl Calls {
-    fn new(share: f64, span: f64, now: f64) -> Calls {
+    fn new(cores: f64, share: f64, span: f64, now: f64) -> Calls {
         let (queue, later, lingering) = (BTreeSet::new(), BTreeMap::new(), Vec::new());
-        Calls { queue, later, in_hand: 0.0, lingering, credit: 0.0, at: now, share, span }
+        Calls {
+            queue,
+            later,
+            in_hand: 0.0,
+            lingering,
+            credit: 0.0,
+            at: now,
+            share,
+            span,
+            permits: cores,
+            cut_at: now,
+        }
     }
 
     fn waiting(&self) -> f64 {
@@ -686,11 +700,27 @@
         self.calls.queue.insert(request.key);
     }
 
+    /// Exception to the design's cap of one call a core on a tier below: calls that wait there for work longer than
+    /// that work holds a core leave it idle, so the cap moves like the running limit. It rises by one for each call
+    /// that came back well while requests wait for theirs and cores idle here; it is cut, at most once a period,
+    /// when a call is turned away, breaks or runs out of time. The cores stay the floor.
+    fn move_permits(&mut self, outcome: Outcome) {
+        let cores = self.set.cores;
+        if matches!(outcome, Outcome::Rejected | Outcome::TimedOut | Outcome::Broken) {
+            if self.now - self.calls.cut_at >= self.limit.period {
+                self.calls.cut_at = self.now;
+                self.calls.permits = (self.calls.permits * CUT).max(cores);
+            }
+        } else if !self.calls.queue.is_empty() && self.gauges.on_cores.is_some_and(|n| n < cores) {
+            self.calls.permits = (self.calls.permits + 1.0).min(cores * self.set.crowd * CROWD_USED);
+        }
+    }
+
     /// How many calls may be in hand at once.
     fn permits(&self) -> f64 {
         match self.set.below {
             Below::Nothing => 0.0,
-            Below::Tier => self.set.cores,
+            Below::Tier => self.calls.permits,
             Below::Shared => {
                 let whole = self.calls.share.floor();
                 let lent = self.calls.credit > 0.0 && self.calls.share.fract() > 0.0;
@@ -748,6 +778,8 @@
             return;
         }
         self.calls.in_hand -= 1.0;
+        self.move_permits(outcome);
+        let Some(request) = self.requests.get_mut(&id) else { return };
         if outcome == Outcome::Ok {
             self.call_time.add(took);
             request.stage = Stage::Running;
