--- a/src/choice.rs
+++ b/src/choice.rs
@@ -700,10 +700,11 @@
         self.calls.queue.insert(request.key);
     }
 
-    /// Exception to the design's cap of one call a core on a tier below: calls that wait there for work longer than
-    /// that work holds a core leave it idle, so the cap moves like the running limit. It rises by one for each call
-    /// that came back well while requests wait for theirs and cores idle here; it is cut, at most once a period,
-    /// when a call is turned away, breaks or runs out of time. The cores stay the floor.
+    /// Exception to the design's cap of one call a core on a tier below: a call lasts longer than the work it
+    /// stands for, so that cap can idle both tiers. It moves like the running limit instead: up by one for each call
+    /// that ends well while requests wait for theirs and cores idle here; cut, at most once a period, when a call
+    /// is turned away, breaks or runs out of time; the cores are its floor. Could harm where the tier below hides
+    /// its overload in long times without failing.
     fn move_permits(&mut self, outcome: Outcome) {
         let cores = self.set.cores;
         if matches!(outcome, Outcome::Rejected | Outcome::TimedOut | Outcome::Broken) {
