--- a/src/choice.rs
+++ b/src/choice.rs
@@ -12,10 +12,10 @@
 /// Sample period of the send share and of the limit's cut, as a part of the time callers heed a share.
 const PERIOD: f64 = 0.25;
 /// Setpoint of the mean hold time, as a part of the shortest class aim.
-const SETPOINT: f64 = 0.15;
-const KP: f64 = 0.4;
+const SETPOINT: f64 = 0.1;
+const KP: f64 = 0.5;
 /// Per second.
-const KI: f64 = 0.3;
+const KI: f64 = 0.5;
 /// Seconds.
 const KD: f64 = 0.05;
 const SHARE_FLOOR: f64 = 0.05;
@@ -32,7 +32,7 @@
 /// Weight of the newest sample in running means.
 const LEARN: f64 = 0.1;
 /// A request is hopeless only when even this part of its expected service no longer fits.
-const OPTIMISM: f64 = 0.6;
+const OPTIMISM: f64 = 1.0;
 /// A repeatable call is abandoned after this multiple of the usual call, or half the time left if longer.
 const PATIENCE: f64 = 4.0;
 /// Calls that may be repeated are issued at most so often.
@@ -56,7 +56,7 @@
 struct Request {
     class: usize,
     kb: f64,
-    read_at: f64,
+    reached: f64,
     due: f64,
     /// Answered by then it earns in full; once that is out of reach and a late answer earns, `due`.
     aim_at: f64,
@@ -236,7 +236,7 @@
         let mut request = Request {
             class: a.class,
             kb: a.kb,
-            read_at: self.now,
+            reached,
             due,
             aim_at: (reached + class.aim + stretch).min(due),
             late: false,
@@ -410,7 +410,7 @@
             0.0
         } else {
             let held = self.hold.iter().filter_map(|k| self.requests.get(&k.2));
-            held.fold(0.0, |oldest: f64, r| oldest.max(self.now - r.read_at))
+            held.fold(0.0, |oldest: f64, r| oldest.max(self.now - r.reached))
         };
         self.share.sample(self.now, oldest);
         // A cold server asks for no more than its part of the speed.
@@ -477,7 +477,7 @@
             if counted >= self.limit.value || self.running >= self.crowd_room() {
                 return;
             }
-            let Some(&(_, _, id)) = self.hold.first() else { return };
+            let Some(id) = self.next_to_run() else { return };
             if self.hopeless(id, 0.0) {
                 self.late_or_never(id, out);
                 continue;
@@ -494,7 +494,7 @@
             self.kb_running += request.kb;
             self.running += 1.0;
             request.stage = Stage::Running;
-            request.held_for = now - request.read_at;
+            request.held_for = now - request.reached;
             out.push(Action::Run(id));
         }
     }
@@ -524,9 +524,22 @@
         self.looks.insert((us(look.min(request.due - self.margin())), id));
     }
 
+    /// The most worth first; within that the nearest aim, or under overload the farthest.
+    fn next_to_run(&self) -> Option<RequestId> {
+        let &(level, _, first) = self.hold.first()?;
+        if self.share.value >= 0.9 {
+            return Some(first);
+        }
+        self.hold.range(..(level + 1, i64::MIN, 0)).next_back().map(|k| k.2)
+    }
+
     /// Whether a held request, begun after `wait`, can no longer be answered in time to earn.
     fn hopeless(&self, id: RequestId, wait: f64) -> bool {
         let Some(r) = self.requests.get(&id) else { return false };
+        // With cores to spare nothing is lost by trying, however long the estimate.
+        if wait == 0.0 && self.hold.len() <= 1 && self.gauges.on_cores.is_some_and(|n| n < self.set.cores) {
+            return self.now >= r.aim_at;
+        }
         let need = OPTIMISM * (r.run_time + self.learned[r.class].off.value);
         self.now + wait + need >= r.aim_at
     }
@@ -549,7 +562,7 @@
     fn trim(&mut self, out: &mut Vec<Action>) {
         while let Some(&(_, _, id)) = self.hold.last() {
             let wait = self.hold_work / self.limit.value;
-            if !self.hopeless(id, wait) {
+            if self.hold.len() <= 1 || !self.hopeless(id, wait) {
                 return;
             }
             self.late_or_never(id, out);
@@ -700,11 +713,11 @@
         self.calls.queue.insert(request.key);
     }
 
-    /// Exception to the design's cap of one call a core on a tier below: a call lasts longer than the work it
-    /// stands for, so that cap can idle both tiers. It moves like the running limit instead: up by one for each call
-    /// that ends well while requests wait for theirs and cores idle here; cut, at most once a period, when a call
-    /// is turned away, breaks or runs out of time; the cores are its floor. Could harm where the tier below hides
-    /// its overload in long times without failing.
+    /// Exception to the design's cap of one call a core on a tier below: a call lasts longer than the work
+    /// it stands for, so that cap can idle both tiers. It moves like the running limit: up by one for a call
+    /// that ends well while requests wait for theirs and cores idle here; cut, at most once a period, when a
+    /// call is turned away, breaks or runs out of time; the cores are its floor. Could harm where the tier
+    /// below hides its overload in long times without failing.
     fn move_permits(&mut self, outcome: Outcome) {
         let cores = self.set.cores;
         if matches!(outcome, Outcome::Rejected | Outcome::TimedOut | Outcome::Broken) {
