--- a/src/choice.rs
+++ b/src/choice.rs
@@ -547,7 +547,7 @@
     /// A held request that misses its aim waits on for a late answer, if that earns, or is turned away.
     fn late_or_never(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
-        if request.late || self.set.classes[request.class].late_worth <= 0.0 {
+        if request.late || self.set.classes[request.class].late_worth <= 0.0 || self.share.value < 0.9 {
             self.give_up(id, true, out);
             return;
         }
