--- a/src/choice.rs
+++ b/src/choice.rs
@@ -12,10 +12,10 @@
 /// Sample period of the send share and of the limit's cut, as a part of the time callers heed a share.
 const PERIOD: f64 = 0.25;
 /// Setpoint of the mean hold time, as a part of the shortest class aim.
-const SETPOINT: f64 = 0.1;
-const KP: f64 = 0.5;
+const SETPOINT: f64 = 0.15;
+const KP: f64 = 0.1;
 /// Per second.
-const KI: f64 = 0.5;
+const KI: f64 = 0.12;
 /// Seconds.
 const KD: f64 = 0.05;
 const SHARE_FLOOR: f64 = 0.05;
