--- a/src/choice.rs
+++ b/src/choice.rs
@@ -24,7 +24,7 @@
 /// The limit is cut to this part of itself.
 const CUT: f64 = 0.8;
 /// Cores busier than this are near full.
-const NEAR_FULL: f64 = 0.95;
+const NEAR_FULL: f64 = 0.85;
 /// Part of the told share of calls that is used: the fleet dies of the mean reaching the whole.
 const CALLS_USED: f64 = 0.85;
 /// Part of the surviving crowd that the module itself will fill; the rest is for reading and surprises.
@@ -457,7 +457,7 @@
         if near_full && past_aim && now - self.cut_at >= self.period {
             self.cut_at = now;
             self.value = (self.value * CUT).max(cores);
-        } else if work_held && gauges.on_cores.is_some_and(|n| n < cores) {
+        } else if work_held && !near_full && gauges.on_cores.is_some_and(|n| n < cores) {
             self.value += 1.0;
         }
     }
