--- a/src/choice.rs
+++ b/src/choice.rs
@@ -413,9 +413,6 @@
             held.fold(0.0, |oldest: f64, r| oldest.max(self.now - r.reached))
         };
         self.share.sample(self.now, oldest);
-        if self.gauges.core_use.is_some_and(|u| u >= NEAR_FULL) {
-            self.limit.value = (self.limit.value - 1.0).max(self.set.cores);
-        }
         // A cold server asks for no more than its part of the speed.
         let value = self.share.value.min(self.speed_share()).max(SHARE_FLOOR);
         if (value - self.share.told).abs() >= 0.01 || (value == 1.0 && self.share.told != 1.0) {
