--- a/src/choice.rs
+++ b/src/choice.rs
@@ -230,6 +230,7 @@
         due = due.max(self.now);
         let stretch = class.aim_stretch * a.work.unwrap_or(0.0);
         self.kb_largest = self.kb_largest.max(a.kb);
+        self.share.read(a.age);
         let over_share = self.over_share(a.tenant);
         let learned = &mut self.learned[a.class];
         let scale = learned.scale(a.work);
@@ -357,6 +358,11 @@
     sampled_at: f64,
     hold_sum: f64,
     finished: f64,
+    unread_sum: f64,
+    reads: f64,
+    /// How long the newest arrival had waited unread.
+    unread: f64,
+    delay: f64,
     integral: f64,
     error: f64,
     value: f64,
@@ -365,29 +371,47 @@
 
 impl SendShare {
     fn new(setpoint: f64, period: f64, now: f64) -> SendShare {
-        let (hold_sum, finished, integral, error) = (0.0, 0.0, 0.0, 0.0);
         SendShare {
             setpoint,
             period,
             sampled_at: now,
-            hold_sum,
-            finished,
-            integral,
-            error,
+            hold_sum: 0.0,
+            finished: 0.0,
+            unread_sum: 0.0,
+            reads: 0.0,
+            unread: 0.0,
+            delay: 0.0,
+            integral: 0.0,
+            error: 0.0,
             value: 1.0,
             told: 1.0,
         }
     }
 
+    fn read(&mut self, unread: f64) {
+        self.unread_sum += unread;
+        self.reads += 1.0;
+        self.unread = unread;
+    }
+
     fn finished(&mut self, held_for: f64) {
         self.hold_sum += held_for;
         self.finished += 1.0;
     }
 
-    fn sample(&mut self, now: f64, oldest_held: f64) {
+    /// Exceptions to the design's delay. What was read this period may have waited unread for longer than
+    /// what finished was held: then that is the delay. And with runs under way, a period in which nothing
+    /// was held, read or finished tells nothing: the last delay stands. Both guard against a server too
+    /// slow to read or finish that would look idle, whatever slows it; they could harm where reading is
+    /// briefly behind.
+    fn sample(&mut self, now: f64, oldest_held: f64, busy: bool) {
         let dt = (now - self.sampled_at) / 1000.0;
-        let delay = if self.finished > 0.0 { self.hold_sum / self.finished } else { oldest_held };
-        let error = (self.setpoint - delay) / self.setpoint;
+        let held = if self.finished > 0.0 { self.hold_sum / self.finished } else { oldest_held };
+        let unread = if self.reads > 0.0 { self.unread_sum / self.reads } else { 0.0 };
+        if !busy || self.finished + self.reads + oldest_held > 0.0 {
+            self.delay = held.max(unread);
+        }
+        let error = (self.setpoint - self.delay) / self.setpoint;
         let integral = self.integral + error * dt;
         let raw = |integral: f64| 1.0 + KP * error + KI * integral + KD * (error - self.error) / dt;
         // Frozen at a clamp: the integral moves only where that keeps the output inside or brings it back.
@@ -398,6 +422,7 @@
         let wanted = raw(self.integral).clamp(self.value - STEP, self.value + STEP);
         self.value = wanted.clamp(SHARE_FLOOR, 1.0);
         (self.error, self.sampled_at, self.hold_sum, self.finished) = (error, now, 0.0, 0.0);
+        (self.unread_sum, self.reads) = (0.0, 0.0);
     }
 }
 
@@ -412,7 +437,7 @@
             let held = self.hold.iter().filter_map(|k| self.requests.get(&k.2));
             held.fold(0.0, |oldest: f64, r| oldest.max(self.now - r.reached))
         };
-        self.share.sample(self.now, oldest);
+        self.share.sample(self.now, oldest, self.running > 0.0);
         // A cold server asks for no more than its part of the speed.
         let value = self.share.value.min(self.speed_share()).max(SHARE_FLOOR);
         if (value - self.share.told).abs() >= 0.01 || (value == 1.0 && self.share.told != 1.0) {
@@ -602,11 +627,12 @@
         }
     }
 
-    /// Turned away, with advice to stay away until the work in hand should be done.
+    /// Turned away, with advice to stay away for as long as a newcomer would wait, unread or held.
     fn refusal(&mut self, id: RequestId, last: bool) -> Action {
         self.rng = self.rng.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         let spread = 0.75 + 0.5 * ((self.rng >> 40) as f64 / (1u64 << 24) as f64);
-        let wait = if self.leaving.is_some() { f64::MAX } else { self.hold_work / self.limit.value * spread };
+        let wait = (self.hold_work / self.limit.value).max(self.share.unread) * spread;
+        let wait = if self.leaving.is_some() { f64::MAX } else { wait };
         Action::Refuse { id, pause: wait.min(self.set.longest_pause), last }
     }
 
