--- a/src/choice.rs
+++ b/src/choice.rs
@@ -27,6 +27,8 @@
 const NEAR_FULL: f64 = 0.85;
 /// Part of the told share of calls that is used: the fleet dies of the mean reaching the whole.
 const CALLS_USED: f64 = 0.85;
+/// Part of what the told share leaves beyond whole permits that accrues; the rest bounds a single loan.
+const LENT: f64 = 0.5;
 /// Part of the surviving crowd that the module itself will fill; the rest is for reading and surprises.
 const CROWD_USED: f64 = 0.7;
 /// Weight of the newest sample in running means.
@@ -163,7 +165,7 @@
             running: 0.0,
             share: SendShare::new(shortest * SETPOINT, period, now),
             limit: RunLimit { value: set.cores, cut_at: now, period },
-            calls: Calls::new(set.cores, set.call_share * CALLS_USED, set.call_span, now),
+            calls: Calls::new(&set, now),
             table: KeyTable::default(),
             learned: vec![Learned::default(); set.classes.len()],
             call_time: Mean::default(),
@@ -185,6 +187,7 @@
     /// Takes in one event. Only what cannot wait for the end of the batch is answered here.
     pub fn event(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
         self.now = now;
+        self.calls.advance(now);
         match event {
             Event::Arrived(arrival) => self.arrived(arrival, out),
             Event::CallerGone(id) => self.caller_gone(id, out),
@@ -199,6 +202,7 @@
     /// Ends a batch: answers what is due, then fills the calls and the cores.
     pub fn decide(&mut self, now: f64, out: &mut Vec<Action>) {
         self.now = now;
+        self.calls.advance(now);
         if self.next_beat == f64::NEG_INFINITY {
             // Stored answers keep checks cheap; that a process answers at all is the rest of the news.
             out.push(Action::Health { good: true, stored: true });
@@ -207,7 +211,7 @@
             self.next_beat = now + BEAT;
             out.push(Action::WakeAt(self.next_beat));
             self.look_at_due(out);
-            self.calls.advance(now);
+            self.calls.wake(now);
             self.table.expire(now - self.set.tick);
             self.tell_share(out);
         }
@@ -412,14 +416,14 @@
             self.delay = held.max(unread);
         }
         let error = (self.setpoint - self.delay) / self.setpoint;
-        let integral = self.integral + error * dt;
-        let raw = |integral: f64| 1.0 + KP * error + KI * integral + KD * (error - self.error) / dt;
-        // Frozen at a clamp: the integral moves only where that keeps the output inside or brings it back.
-        let wanted = raw(integral);
-        if (wanted < 1.0 || error < 0.0) && (wanted > SHARE_FLOOR || error > 0.0) {
-            self.integral = integral;
-        }
-        let wanted = raw(self.integral).clamp(self.value - STEP, self.value + STEP);
+        // Frozen at a clamp: the integral never moves past the point where it alone would reach one.
+        let rest = 1.0 + KP * error + KD * (error - self.error) / dt;
+        let (low, high) = ((SHARE_FLOOR - rest) / KI, (1.0 - rest) / KI);
+        let moved = self.integral + error * dt;
+        let held = moved.clamp(low.min(self.integral), high.max(self.integral));
+        self.integral = held;
+        let wanted = rest + KI * held;
+        let wanted = wanted.clamp(self.value - STEP, self.value + STEP);
         self.value = wanted.clamp(SHARE_FLOOR, 1.0);
         (self.error, self.sampled_at, self.hold_sum, self.finished) = (error, now, 0.0, 0.0);
         (self.unread_sum, self.reads) = (0.0, 0.0);
@@ -507,12 +511,16 @@
                 self.late_or_never(id, out);
                 continue;
             }
+            // Held requests of the least worth make room; else a full hold would keep the cores idle.
+            let need = self.requests.get(&id).map_or(0.0, |r| r.kb) * (self.set.run_memory - 1.0);
+            while need > self.memory_room() - self.memory_used() {
+                match self.hold.last() {
+                    Some(&(_, _, last)) if last != id => self.give_up(last, false, out),
+                    _ => return,
+                }
+            }
             let now = self.now;
-            let room = self.memory_room() - self.memory_used();
             let Some(request) = self.requests.get_mut(&id) else { return };
-            if request.kb * (self.set.run_memory - 1.0) > room {
-                return;
-            }
             self.hold.remove(&request.key);
             self.hold_work -= request.run_time;
             self.kb_held -= request.kb;
@@ -665,29 +673,32 @@
     in_hand: f64,
     /// When abandoned calls leave the dependency's hands at the latest.
     lingering: Vec<f64>,
-    /// Call time that the fraction of a permit still allows, ms.
+    /// Permits always there, and the call time, ms, that one more may use now, at most, and gains a ms.
+    whole: f64,
     credit: f64,
+    most_credit: f64,
+    gain: f64,
     at: f64,
-    share: f64,
-    span: f64,
     /// Calls that may be in hand at once where below is a tier.
     permits: f64,
     cut_at: f64,
 }
 
 impl Calls {
-    fn new(cores: f64, share: f64, span: f64, now: f64) -> Calls {
-        let (queue, later, lingering) = (BTreeSet::new(), BTreeMap::new(), Vec::new());
+    fn new(set: &Settings, now: f64) -> Calls {
+        let whole = (set.call_share * CALLS_USED).floor();
+        let extra = set.call_share - whole;
         Calls {
-            queue,
-            later,
+            queue: BTreeSet::new(),
+            later: BTreeMap::new(),
             in_hand: 0.0,
-            lingering,
+            lingering: Vec::new(),
+            whole,
             credit: 0.0,
+            most_credit: extra * (1.0 - LENT) * set.call_span,
+            gain: extra * LENT,
             at: now,
-            share,
-            span,
-            permits: cores,
+            permits: set.cores,
             cut_at: now,
         }
     }
@@ -709,14 +720,16 @@
         self.in_hand + self.lingering.len() as f64
     }
 
-    /// The part of a permit beyond the whole ones is lent out only for that part of the time.
+    /// What the told share leaves beyond whole permits is lent for that part of the time, never for longer.
     fn advance(&mut self, now: f64) {
-        let (share, span) = (self.share, self.span);
-        let beyond = (self.all_in_hand() - share.floor()).max(0.0);
-        self.credit =
-            (self.credit + (share.fract() - beyond) * (now - self.at)).clamp(-span, share.fract() * span);
+        let beyond = (self.all_in_hand() - self.whole).max(0.0);
+        self.credit = (self.credit + (self.gain - beyond) * (now - self.at)).min(self.most_credit);
         self.at = now;
         self.lingering.retain(|until| *until > now);
+    }
+
+    /// Puts back in the queue what waited to try its call again.
+    fn wake(&mut self, now: f64) {
         let ready: Vec<HoldKey> = self.later.iter().filter(|(_, at)| **at <= now).map(|(k, _)| *k).collect();
         for key in ready {
             self.later.remove(&key);
@@ -762,9 +775,10 @@
             Below::Nothing => 0.0,
             Below::Tier => self.calls.permits,
             Below::Shared => {
-                let whole = self.calls.share.floor();
-                let lent = self.calls.credit > 0.0 && self.calls.share.fract() > 0.0;
-                if lent { whole + 1.0 } else { whole }
+                // One more is lent while it can last for a usual call and still be paid back.
+                let usual = 2.0 * self.call_time.value + self.set.call_lingers;
+                let lent = self.calls.credit >= usual.min(self.calls.most_credit) && self.calls.gain > 0.0;
+                if lent { self.calls.whole + 1.0 } else { self.calls.whole }
             }
         }
     }
@@ -773,14 +787,17 @@
         if self.calls.queue.is_empty() {
             return;
         }
-        self.calls.advance(self.now);
         let permits = self.permits();
         while let Some(&key) = self.calls.queue.first() {
             if self.calls.all_in_hand() >= permits {
                 break;
             }
             self.calls.queue.remove(&key);
-            let abandon_at = self.abandon_at(key.2);
+            let mut abandon_at = self.abandon_at(key.2);
+            if self.set.below == Below::Shared && self.calls.all_in_hand() >= self.calls.whole {
+                let loan = (self.calls.credit - self.set.call_lingers).max(self.set.tick);
+                abandon_at = abandon_at.min(self.now + loan);
+            }
             let Some(request) = self.requests.get_mut(&key.2) else { continue };
             request.stage = Stage::Calling;
             request.calls += 1;
--- /dev/null
+++ b/tests/mechanism.rs
@@ -0,0 +1,246 @@
+//! The design, sentence by sentence: the send share, the running limit and the permits for calls.
+
+mod common;
+use common::*;
+use loomflow::interface::*;
+
+/// Keeps a server busy so that each run finished was held for `held`: one in, one out, every 50 ms.
+fn load(driver: &mut Driver, from: RequestId, count: u32, unread: f64) {
+    for id in from..from + count {
+        let mut a = arrival(id, SAFE);
+        a.age = unread;
+        driver.one(Event::Arrived(a));
+        driver.pass(50.0);
+        driver.finish(id, 50.0);
+    }
+}
+
+#[test]
+fn the_share_starts_at_one_and_a_server_below_its_setpoint_says_nothing_else() {
+    let mut d = Driver::new(settings());
+    load(&mut d, 1, 100, 20.0);
+    assert_eq!(d.told(), 1.0);
+    assert!(!d.log.iter().any(|(_, a)| matches!(a, Action::Tell(_))));
+}
+
+#[test]
+fn the_share_falls_in_capped_steps_to_its_floor_and_comes_back_to_one() {
+    let mut d = Driver::new(settings());
+    load(&mut d, 1, 200, 1500.0);
+    let said: Vec<f64> =
+        d.log.iter().filter_map(|(_, a)| if let Action::Tell(x) = a { Some(*x) } else { None }).collect();
+    assert!(said[0] < 1.0, "it fell at once: {said:?}");
+    let mut last = 1.0;
+    for x in &said {
+        assert!((0.05..=1.0).contains(x));
+        assert!((x - last).abs() <= 0.2 + 1e-9, "step from {last} to {x}");
+        last = *x;
+    }
+    assert!((last - 0.05).abs() < 1e-6, "ended at {last}");
+    // The integral was frozen at the clamp: minutes of overload are not paid back for minutes.
+    load(&mut d, 1000, 600, 1500.0);
+    load(&mut d, 2000, 400, 10.0);
+    assert_eq!(d.told(), 1.0);
+}
+
+#[test]
+fn with_nothing_finished_the_oldest_held_request_is_the_delay() {
+    let mut d = Driver::new(settings());
+    d.gauges = FULL;
+    for id in 1..=8 {
+        d.arrive(id, SAFE);
+    }
+    assert_eq!(d.started(), 4);
+    d.pass(1500.0);
+    assert!(d.told() < 1.0, "four have been held for 1.5 s and none finished");
+}
+
+#[test]
+fn unread_wait_counts_as_delay_though_the_hold_is_empty() {
+    let mut d = Driver::new(settings());
+    // A slow server: what is read has waited long, and next to nothing finishes.
+    for id in 1..=4 {
+        let mut a = arrival(id, UNSAFE);
+        a.age = 1500.0;
+        d.one(Event::Arrived(a));
+        d.pass(400.0);
+    }
+    assert!(d.told() < 0.8, "told {}", d.told());
+}
+
+#[test]
+fn a_period_without_any_news_keeps_the_last_delay_while_runs_are_under_way() {
+    let mut d = Driver::new(settings());
+    for id in 1..=4 {
+        let mut a = arrival(id, UNSAFE);
+        a.age = 1500.0;
+        d.one(Event::Arrived(a));
+        d.pass(100.0);
+    }
+    let before = d.told();
+    d.pass(1500.0);
+    assert!(d.told() < before, "silence is not health: {before} to {}", d.told());
+}
+
+#[test]
+fn the_limit_starts_at_the_cores() {
+    let mut d = Driver::new(settings());
+    let batch = (1..=10).map(|id| Event::Arrived(arrival(id, SAFE))).collect();
+    assert_eq!(runs(&d.batch(batch)).len(), 4);
+}
+
+#[test]
+fn the_limit_rises_by_one_a_finished_run_only_while_cores_idle_and_work_is_held() {
+    let mut d = Driver::new(settings());
+    d.batch((1..=10).map(|id| Event::Arrived(arrival(id, SAFE))).collect());
+    d.gauges = FULL;
+    d.pass(60.0);
+    assert_eq!(runs(&d.finish(1, 60.0)).len(), 1, "one in for one out on full cores");
+    d.gauges = IDLE;
+    d.pass(60.0);
+    assert_eq!(runs(&d.finish(2, 120.0)).len(), 2, "one more on idle cores");
+}
+
+#[test]
+fn the_limit_is_cut_at_most_once_a_period_and_not_under_the_cores() {
+    let mut d = Driver::new(settings());
+    d.batch((1..=60).map(|id| Event::Arrived(arrival(id, UNSAFE))).collect());
+    d.pass(60.0);
+    for id in 1..=6 {
+        d.finish(id, 60.0);
+    }
+    let running = d.started() - 6;
+    assert_eq!(running, 10, "six rises over four cores");
+    d.gauges = FULL;
+    d.pass(300.0);
+    // Past the aim on full cores: 10 becomes 8; a second one within the period cuts nothing.
+    assert_eq!(runs(&d.finish(7, 2100.0)).len(), 0);
+    assert_eq!(runs(&d.finish(8, 2100.0)).len(), 0);
+    assert_eq!(runs(&d.finish(9, 2100.0)).len(), 1, "seven are left under a limit of eight");
+    for id in 10..=18 {
+        d.pass(300.0);
+        d.finish(id, 2100.0);
+    }
+    let running = d.started() - 18;
+    assert_eq!(running, 4, "the cores are the floor");
+}
+
+#[test]
+fn time_at_calls_is_not_run_latency() {
+    let mut d = Driver::new(settings());
+    d.batch((1..=30).map(|id| Event::Arrived(arrival(id, UNSAFE))).collect());
+    d.pass(60.0);
+    for id in 1..=4 {
+        d.finish(id, 60.0);
+    }
+    d.gauges = FULL;
+    d.pass(300.0);
+    d.one(Event::NeedsCall(5));
+    d.pass(1900.0);
+    d.one(Event::CallEnded { id: 5, outcome: Outcome::Ok, took: 1900.0 });
+    d.batch((31..=40).map(|id| Event::Arrived(arrival(id, UNSAFE))).collect());
+    let before = d.started();
+    d.finish(5, 2200.0);
+    d.finish(6, 300.0);
+    assert_eq!(d.started() - before, 1, "the request back from its call was counted again, no cut");
+}
+
+#[test]
+fn a_request_at_a_call_leaves_the_limit_and_one_waiting_for_a_call_does_not() {
+    let mut s = settings();
+    s.cores = 1.0;
+    let mut d = Driver::new(s);
+    d.gauges = FULL;
+    d.pass(60.0);
+    d.batch((1..=5).map(|id| Event::Arrived(arrival(id, SAFE))).collect());
+    assert_eq!(d.started(), 1);
+    let actions = d.one(Event::NeedsCall(1));
+    assert!(actions.iter().any(|a| matches!(a, Action::Call { id: 1, .. })));
+    assert_eq!(runs(&actions).len(), 1, "its core is free");
+    let second = runs(&actions)[0];
+    let actions = d.one(Event::NeedsCall(second));
+    assert!(!actions.iter().any(|a| matches!(a, Action::Call { .. })), "one call a core below");
+    assert!(runs(&actions).is_empty(), "it waits for a free call and stays counted");
+}
+
+#[test]
+fn permits_on_a_tier_rise_with_calls_that_end_well_while_cores_idle() {
+    let mut s = settings();
+    s.cores = 1.0;
+    let mut d = Driver::new(s);
+    d.gauges.on_cores = Some(0.0);
+    d.pass(60.0);
+    d.batch((1..=9).map(|id| Event::Arrived(arrival(id, SAFE))).collect());
+    let second = runs(&d.one(Event::NeedsCall(1)))[0];
+    d.one(Event::NeedsCall(second));
+    let actions = d.one(Event::CallEnded { id: 1, outcome: Outcome::Ok, took: 30.0 });
+    assert_eq!(actions.iter().filter(|a| matches!(a, Action::Call { .. })).count(), 1);
+    let more = runs(&d.finish(1, 60.0));
+    let actions = d.one(Event::NeedsCall(more[0]));
+    let again = actions.iter().any(|a| matches!(a, Action::Call { .. }));
+    assert!(again, "two in hand: the cap rose by the call that ended well while one waited");
+}
+
+#[test]
+fn a_share_under_one_is_a_permit_for_that_part_of_the_time() {
+    let mut s = settings();
+    s.below = Below::Shared;
+    s.call_share = 0.4;
+    s.classes[SAFE].give_up = 60_000.0;
+    s.classes[SAFE].aim = 50_000.0;
+    let mut d = Driver::new(s);
+    let mut in_hand = 0.0;
+    let (mut seen, mut calling) = (0, None::<(RequestId, f64)>);
+    for next in 1..=600 {
+        for id in runs(&d.arrive(next, SAFE)) {
+            d.one(Event::NeedsCall(id));
+        }
+        d.pass(50.0);
+        for (at, action) in &d.log[seen..] {
+            if let Action::Call { id, .. } = action {
+                assert!(calling.is_none(), "a second call at a share under one");
+                calling = Some((*id, *at));
+            }
+        }
+        seen = d.log.len();
+        if let Some((id, at)) = calling.filter(|(_, at)| d.now - at >= 200.0) {
+            calling = None;
+            in_hand += d.now - at;
+            d.one(Event::CallEnded { id, outcome: Outcome::Ok, took: d.now - at });
+            for started in runs(&d.finish(id, d.now - at)) {
+                d.one(Event::NeedsCall(started));
+            }
+        }
+    }
+    let mean = in_hand / (600.0 * 50.0);
+    assert!(mean <= 0.4, "mean in hand {mean}");
+    assert!(mean > 0.1, "it is used: {mean}");
+}
+
+#[test]
+fn a_cold_server_asks_for_its_part_of_the_speed_only() {
+    let mut s = settings();
+    s.cold = true;
+    let mut d = Driver::new(s);
+    load(&mut d, 1, 10, 20.0);
+    assert!(d.told() < 0.5, "told {}", d.told());
+    d.pass(16_000.0);
+    assert_eq!(d.told(), 1.0);
+}
+
+#[test]
+fn the_share_is_put_in_the_callers_terms() {
+    for (signal, low) in [(Signal::LowestRank, true), (Signal::Credit, false)] {
+        let mut s = settings();
+        s.signal = signal;
+        let mut d = Driver::new(s);
+        load(&mut d, 1, 200, 1500.0);
+        let told = d.told();
+        assert!(if low { told > 0.9 } else { told > 0.0 && told < 1.0 }, "{signal:?} {told}");
+    }
+    let mut s = settings();
+    s.signal = Signal::Unused;
+    let mut d = Driver::new(s);
+    load(&mut d, 1, 100, 1500.0);
+    assert!(!d.log.iter().any(|(_, a)| matches!(a, Action::Tell(_))));
+}
--- /dev/null
+++ b/tests/property.rs
@@ -0,0 +1,526 @@
+//! The four rules under random legal event sequences, judged by a checker that knows only the rules.
+
+mod common;
+use std::collections::{BTreeMap, BTreeSet};
+
+use common::*;
+use loomflow::choice::Choice;
+use loomflow::interface::*;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum At {
+    Held,
+    Reusing,
+    Running,
+    Blocked,
+    Calling,
+}
+
+#[derive(Clone, Debug)]
+struct Seen {
+    class: usize,
+    reached: f64,
+    due: f64,
+    kb: f64,
+    at: At,
+    answered: bool,
+    ran: bool,
+    /// The outcome of its last call leaves open whether that call ran.
+    call_may_have_run: bool,
+    root: Option<RequestId>,
+    abandon_at: f64,
+}
+
+/// Sees events and actions, keeps what the rules need, and collects what breaks them.
+struct Checker {
+    set: Settings,
+    now: f64,
+    born: f64,
+    open: BTreeMap<RequestId, Seen>,
+    /// Keyed requests that ran: when they arrived.
+    ran: BTreeMap<RequestId, f64>,
+    entries: BTreeMap<RequestId, f64>,
+    lingering: Vec<f64>,
+    crowd: Vec<(f64, f64)>,
+    calls: Vec<(f64, f64)>,
+    notice: Option<(f64, f64)>,
+    stopped: bool,
+    timers: Vec<f64>,
+    broken: Vec<String>,
+}
+
+impl Checker {
+    fn new(set: Settings, now: f64) -> Checker {
+        Checker {
+            set,
+            now,
+            born: now,
+            open: BTreeMap::new(),
+            ran: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            lingering: vec![],
+            crowd: vec![],
+            calls: vec![],
+            notice: None,
+            stopped: false,
+            timers: vec![],
+            broken: vec![],
+        }
+    }
+
+    fn break_rule(&mut self, text: String) {
+        self.broken.push(format!("at {:.0}: {text}", self.now - self.born));
+    }
+
+    fn ids(&self, at: At) -> Vec<RequestId> {
+        self.open.iter().filter(|(_, s)| s.at == at).map(|(id, _)| *id).collect()
+    }
+
+    fn read(&mut self, a: &Arrival) {
+        let class = &self.set.classes[a.class];
+        let reached = self.now - a.age;
+        let due = if self.set.tells_wait { self.now + a.wait_left } else { reached + class.give_up };
+        let seen = Seen {
+            class: a.class,
+            reached,
+            due: due.max(self.now),
+            kb: a.kb,
+            at: At::Held,
+            answered: false,
+            ran: false,
+            call_may_have_run: false,
+            root: a.repeats,
+            abandon_at: f64::MAX,
+        };
+        self.open.insert(a.id, seen);
+    }
+
+    /// A final answer, by an action or by the end of a run.
+    fn answer(&mut self, id: RequestId, refusal: bool) {
+        let Some(s) = self.open.get_mut(&id) else { return };
+        let (again, effect) = (s.answered, self.set.classes[s.class].effect);
+        let ran = s.ran || s.root.is_some_and(|r| self.ran.contains_key(&r));
+        s.answered = true;
+        if matches!(s.at, At::Held | At::Reusing) {
+            self.open.remove(&id);
+        }
+        if again {
+            self.break_rule(format!("{id} answered twice"));
+        }
+        if refusal && ran && effect != Effect::Safe {
+            self.break_rule(format!("{id} refused though it ran"));
+        }
+    }
+
+    fn acted(&mut self, action: &Action) {
+        match action {
+            Action::Run(id) => {
+                let Some(s) = self.open.get_mut(id) else { return };
+                let (class, reached) = (self.set.classes[s.class].clone(), s.reached);
+                let again = s.ran || s.at == At::Reusing;
+                let root = s.root;
+                (s.at, s.ran) = (At::Running, true);
+                if class.effect != Effect::Safe && again {
+                    self.break_rule(format!("{id} run twice"));
+                }
+                if class.effect == Effect::Keyed {
+                    if !self.entries.contains_key(id) {
+                        self.break_rule(format!("{id} run without an entry"));
+                    }
+                    let repeat =
+                        root.and_then(|r| self.ran.get(&r)).is_some_and(|at| reached <= at + class.window);
+                    if repeat {
+                        self.break_rule(format!("{id} repeats a run within the window"));
+                    }
+                    self.ran.insert(*id, reached);
+                }
+                if self.notice.is_some_and(|(at, _)| reached > at + self.set.drain_grace) {
+                    self.break_rule(format!("{id} run though it came past the grace"));
+                }
+            }
+            Action::Reuse(id) => {
+                if let Some(s) = self.open.get_mut(id) {
+                    s.at = At::Reusing;
+                }
+            }
+            Action::Refuse { id, .. } => self.answer(*id, true),
+            Action::Fail(id) => self.answer(*id, false),
+            Action::Call { id, abandon_at } => {
+                let Some(s) = self.open.get_mut(id).filter(|s| s.at == At::Blocked) else { return };
+                s.at = At::Calling;
+                s.abandon_at = if *abandon_at > 0.0 { *abandon_at } else { f64::MAX };
+                let repeat = s.call_may_have_run && self.set.classes[s.class].effect != Effect::Safe;
+                if repeat {
+                    self.break_rule(format!("{id} repeats a call that may have run"));
+                }
+            }
+            Action::SkipCall(id) => {
+                if let Some(s) = self.open.get_mut(id) {
+                    s.at = At::Running;
+                }
+            }
+            Action::Remember { id, span } => {
+                self.entries.insert(*id, self.now + span);
+            }
+            Action::Forget(id) => {
+                self.entries.remove(id);
+            }
+            Action::WakeAt(at) => self.timers.push(*at),
+            _ => {}
+        }
+    }
+
+    /// After the actions of a batch: memory, crowd, calls in hand.
+    fn settle(&mut self) {
+        let now = self.now;
+        self.entries.retain(|_, until| *until > now);
+        self.lingering.retain(|until| *until > now);
+        let weight =
+            |s: &Seen| if matches!(s.at, At::Held | At::Reusing) { s.kb } else { s.kb * self.set.run_memory };
+        let used =
+            self.open.values().map(weight).sum::<f64>() + self.entries.len() as f64 * self.set.entry_kb;
+        if used > self.set.memory_kb {
+            self.break_rule(format!("{used:.0} kB in use"));
+        }
+        self.crowd.push((now, self.ids(At::Running).len() as f64));
+        self.calls.push((now, (self.ids(At::Calling).len() + self.lingering.len()) as f64));
+        let warmed = if self.set.cold { ((now - self.born) / self.set.cold_span).min(1.0) } else { 1.0 };
+        let speed = self.set.cold_share + (1.0 - self.set.cold_share) * warmed;
+        let survives = self.set.cores * (1.0 + (self.set.crowd - 1.0) * speed);
+        if let Some(mean) = mean_over(&self.crowd, now, self.set.crowd_span).filter(|m| *m > survives) {
+            self.break_rule(format!("{mean:.2} on the cores, {survives:.2} survive"));
+        }
+        if self.set.below == Below::Shared
+            && let Some(mean) = mean_over(&self.calls, now, self.set.call_span)
+            && mean > self.set.call_share
+        {
+            self.break_rule(format!("{mean:.3} calls in hand"));
+        }
+    }
+
+    /// As time passes: what is due must have been answered.
+    fn check_due(&mut self) {
+        let late = |s: &Seen| !s.answered && self.now > s.due + self.set.answer_slack;
+        let lost: Vec<RequestId> = self.open.iter().filter(|(_, s)| late(s)).map(|(id, _)| *id).collect();
+        for id in lost {
+            self.break_rule(format!("{id} not answered by its due time"));
+            self.open.get_mut(&id).unwrap().answered = true;
+        }
+        if let Some((_, stop)) = self.notice
+            && self.now >= stop
+            && !self.stopped
+        {
+            self.stopped = true;
+            if let Some(id) = self.open.iter().find(|(_, s)| !s.answered).map(|(id, _)| *id) {
+                self.break_rule(format!("{id} not answered before the stop"));
+            }
+        }
+    }
+}
+
+/// Mean of a step function over the last `span`, once so much time was seen.
+fn mean_over(steps: &[(f64, f64)], now: f64, span: f64) -> Option<f64> {
+    let from = now - span;
+    steps.first().filter(|(at, _)| *at <= from)?;
+    let mut sum = 0.0;
+    for (at, step) in steps.iter().enumerate() {
+        let end = steps.get(at + 1).map_or(now, |next| next.0);
+        sum += (end - step.0.max(from)).max(0.0) * step.1;
+    }
+    Some(sum / span)
+}
+
+/// What the module's actions go through before they take effect: nothing, or a fault on purpose.
+type Fault = fn(&mut Vec<Action>, &Checker);
+
+struct World {
+    choice: Choice,
+    checker: Checker,
+    next: RequestId,
+    fault: Fault,
+}
+
+/// One step: what happens, to which request, and how long after the step before.
+type Step = (u8, u16, u16);
+
+impl World {
+    fn new(set: Settings, fault: Fault) -> World {
+        let now = 50_000.0;
+        let choice = Choice::new(set.clone(), 11, now);
+        let mut world = World { choice, checker: Checker::new(set, now), next: 1, fault };
+        world.batch(vec![]);
+        world
+    }
+
+    fn batch(&mut self, events: Vec<Event>) {
+        let mut actions = vec![];
+        let now = self.checker.now;
+        for event in events {
+            if let Event::Arrived(a) = &event {
+                self.checker.read(a);
+            }
+            self.choice.event(now, event, &mut actions);
+        }
+        self.choice.decide(now, &mut actions);
+        (self.fault)(&mut actions, &self.checker);
+        for action in &actions {
+            self.checker.acted(action);
+        }
+        self.checker.settle();
+    }
+
+    /// Ends the calls that are abandoned by then.
+    fn abandon(&mut self, by: f64) {
+        loop {
+            let calling = self.checker.open.iter().filter(|(_, s)| s.at == At::Calling && s.abandon_at <= by);
+            let Some((at, id)) =
+                calling.map(|(id, s)| (s.abandon_at, *id)).min_by(|a, b| a.0.total_cmp(&b.0))
+            else {
+                return;
+            };
+            self.checker.now = self.checker.now.max(at);
+            let event = self.end_call(id, Outcome::TimedOut, 500);
+            self.batch(vec![event]);
+        }
+    }
+
+    fn end_call(&mut self, id: RequestId, outcome: Outcome, by: u16) -> Event {
+        let lingers = self.checker.now + self.checker.set.call_lingers;
+        let s = self.checker.open.get_mut(&id).unwrap();
+        if s.answered {
+            self.checker.open.remove(&id);
+            self.checker.lingering.push(lingers);
+            return Event::RunEnded { id, outcome: Outcome::Cancelled, took: 10.0 };
+        }
+        s.at = if outcome == Outcome::Ok { At::Running } else { At::Blocked };
+        s.call_may_have_run = matches!(outcome, Outcome::Error | Outcome::TimedOut);
+        if outcome == Outcome::TimedOut {
+            self.checker.lingering.push(lingers);
+        }
+        Event::CallEnded { id, outcome, took: f64::from(by % 700) }
+    }
+
+    fn pass(&mut self, ms: f64) {
+        let end = self.checker.now + ms;
+        loop {
+            let next = self.checker.timers.iter().copied().fold(end, f64::min);
+            self.abandon(next);
+            self.checker.timers.sort_by(f64::total_cmp);
+            match self.checker.timers.first().copied() {
+                Some(at) if at <= end => {
+                    self.checker.timers.remove(0);
+                    self.checker.now = self.checker.now.max(at);
+                    if !self.checker.stopped {
+                        let busy = self.checker.ids(At::Running).len() as f64;
+                        let core_use = Some((busy / self.checker.set.cores).min(1.0));
+                        let gauges = Gauges { core_use, on_cores: Some(busy), ..Gauges::default() };
+                        self.batch(vec![Event::TimerFired(gauges)]);
+                    }
+                    self.checker.check_due();
+                }
+                _ => break,
+            }
+        }
+        self.checker.now = end;
+        self.checker.check_due();
+    }
+
+    fn pick(&self, at: At, by: u16) -> Option<RequestId> {
+        let ids = self.checker.ids(at);
+        if ids.is_empty() { None } else { Some(ids[by as usize % ids.len()]) }
+    }
+
+    fn arrival(&mut self, by: u16) -> Event {
+        let id = self.next;
+        self.next += 1;
+        let mut a = arrival(id, by as usize % 3);
+        a.kb = f64::from(5 + by % 40);
+        a.age = f64::from(by % 7) * 30.0;
+        a.wait_left = f64::from(100 + by % 6000);
+        a.work = if by.is_multiple_of(2) { Some(f64::from(1 + by % 500)) } else { None };
+        Event::Arrived(a)
+    }
+
+    /// A repeat of a keyed request whose entry lives, as the server would connect the two.
+    fn repeat(&mut self, by: u16) -> Option<Event> {
+        let known: Vec<RequestId> = self.checker.entries.keys().copied().collect();
+        let of = *known.get(by as usize % known.len().max(1))?;
+        let held = self.checker.open.get(&of).is_some_and(|s| s.at == At::Held && !s.answered);
+        if !held && !self.checker.ran.contains_key(&of) {
+            return None;
+        }
+        let Event::Arrived(mut a) = self.arrival(by) else { return None };
+        (a.class, a.repeats, a.age) = (KEYED, Some(of), 0.0);
+        Some(Event::Arrived(a))
+    }
+
+    fn step(&mut self, (what, by, wait): Step) {
+        self.pass(f64::from(wait % 400));
+        if self.checker.stopped {
+            return;
+        }
+        let outcomes =
+            [Outcome::Ok, Outcome::Error, Outcome::Rejected, Outcome::TimedOut, Outcome::Unreachable];
+        let event = match what % 16 {
+            0..=3 => Some(self.arrival(by)),
+            4 => {
+                let batch = (0..by % 12).map(|n| self.arrival(by.wrapping_add(n * 37))).collect();
+                self.batch(batch);
+                None
+            }
+            5 => self.repeat(by),
+            6..=8 => self.pick(At::Running, by).map(|id| {
+                let outcome = if by.is_multiple_of(9) { Outcome::Error } else { Outcome::Ok };
+                let answered = self.checker.open[&id].answered;
+                if !answered {
+                    self.checker.answer(id, false);
+                }
+                self.checker.open.remove(&id);
+                Event::RunEnded { id, outcome, took: f64::from(by % 3000) }
+            }),
+            9..=10 => {
+                let callable = self.pick(At::Running, by).filter(|id| !self.checker.open[id].answered);
+                callable.map(|id| {
+                    let s = self.checker.open.get_mut(&id).unwrap();
+                    (s.at, s.call_may_have_run) = (At::Blocked, false);
+                    Event::NeedsCall(id)
+                })
+            }
+            11..=13 => {
+                let outcome = outcomes[by as usize % outcomes.len()];
+                self.pick(At::Calling, by).map(|id| self.end_call(id, outcome, by))
+            }
+            14 => {
+                let ids: Vec<RequestId> = self.checker.open.keys().copied().collect();
+                let id = ids.get(by as usize % ids.len().max(1)).copied();
+                id.filter(|id| !self.checker.open[id].answered).map(|id| {
+                    let s = self.checker.open.get_mut(&id).unwrap();
+                    s.answered = true;
+                    if matches!(s.at, At::Held | At::Reusing) {
+                        self.checker.open.remove(&id);
+                    }
+                    Event::CallerGone(id)
+                })
+            }
+            _ if by.is_multiple_of(20) && self.checker.notice.is_none() => {
+                let left = f64::from(1000 + by % 4000);
+                self.checker.notice = Some((self.checker.now, self.checker.now + left));
+                Some(Event::Leaving { left })
+            }
+            _ => None,
+        };
+        // A request already answered ends by itself where it waits for a call.
+        for id in self.checker.ids(At::Blocked) {
+            if self.checker.open[&id].answered {
+                self.checker.open.remove(&id);
+                self.batch(vec![Event::RunEnded { id, outcome: Outcome::Cancelled, took: 10.0 }]);
+            }
+        }
+        if let Some(event) = event {
+            self.batch(vec![event]);
+        }
+    }
+
+    fn play(set: Settings, steps: &[Step], fault: Fault) -> Vec<String> {
+        let mut world = World::new(set, fault);
+        for step in steps {
+            world.step(*step);
+        }
+        world.pass(9000.0);
+        world.checker.broken
+    }
+}
+
+/// Settings that press on every rule: small memory, cold or not, told waits or not, each kind of dependency.
+fn pressing(kind: u8) -> Settings {
+    let mut s = settings();
+    s.memory_kb = 4000.0;
+    s.entry_kb = 40.0;
+    s.cold = kind.is_multiple_of(2);
+    s.tells_wait = kind.is_multiple_of(3);
+    if kind.is_multiple_of(4) {
+        s.below = Below::Shared;
+        s.call_share = [0.4, 1.0, 2.7][kind as usize / 4 % 3];
+    }
+    s.stopping = Stopping::Impossible;
+    s
+}
+
+fn runner(cases: u32) -> TestRunner {
+    let config = Config { cases, failure_persistence: None, ..Config::default() };
+    TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
+}
+
+fn steps() -> impl Strategy<Value = (u8, Vec<Step>)> {
+    (any::<u8>(), vec(any::<Step>(), 1..250))
+}
+
+#[test]
+fn no_rule_is_broken() {
+    let played = runner(400).run(&steps(), |(kind, steps)| {
+        let broken = World::play(pressing(kind), &steps, |_, _| {});
+        prop_assert!(broken.is_empty(), "{broken:?}");
+        Ok(())
+    });
+    if let Err(e) = played {
+        panic!("{e}");
+    }
+}
+
+/// The checker is worth something only if it fails modules that are broken on purpose.
+#[test]
+fn the_checker_sees_broken_modules() {
+    let faults: [(&str, Fault, &str); 6] = [
+        ("forgets failures", |a, _| a.retain(|x| !matches!(x, Action::Fail(_))), "not answered"),
+        (
+            "answers twice",
+            |a, _| {
+                let fails: Vec<Action> = a.iter().filter(|x| matches!(x, Action::Fail(_))).cloned().collect();
+                a.extend(fails);
+            },
+            "answered twice",
+        ),
+        (
+            "runs repeats",
+            |a, _| {
+                for x in a.iter_mut() {
+                    if let Action::Reuse(id) = *x {
+                        *x = Action::Run(id);
+                    }
+                }
+            },
+            "within the window",
+        ),
+        (
+            "refuses what ran",
+            |a, _| {
+                for x in a.iter_mut() {
+                    if let Action::Fail(id) = *x {
+                        *x = Action::Refuse { id, pause: 0.0, last: false };
+                    }
+                }
+            },
+            "refused though it ran",
+        ),
+        ("runs all", |a, c| a.extend(c.ids(At::Held).into_iter().map(Action::Run)), "on the cores"),
+        (
+            "repeats every call",
+            |a, c| a.extend(c.ids(At::Blocked).into_iter().map(|id| Action::Call { id, abandon_at: 0.0 })),
+            "repeats a call",
+        ),
+    ];
+    for (name, fault, expected) in faults {
+        let seen = std::cell::RefCell::new(BTreeSet::new());
+        let _ = runner(150).run(&steps(), |(kind, steps)| {
+            let broken = World::play(pressing(kind), &steps, fault);
+            for text in broken.iter().filter(|t| t.contains(expected)) {
+                seen.borrow_mut().insert(text.clone());
+            }
+            Ok(())
+        });
+        assert!(!seen.borrow().is_empty(), "a module that {name} passed the checker");
+    }
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,310 @@
+//! The four rules, one by one, and the failures that incidents brought to light.
+
+mod common;
+use common::*;
+use loomflow::interface::*;
+
+fn many(ids: std::ops::RangeInclusive<RequestId>, class: usize) -> Vec<Event> {
+    ids.map(|id| Event::Arrived(arrival(id, class))).collect()
+}
+
+// ---- Rule 1 ----
+
+#[test]
+fn everything_read_is_answered_before_it_is_due_though_its_run_never_ends() {
+    let mut d = Driver::new(settings());
+    d.batch((1..=12).map(|id| Event::Arrived(arrival(id, id as usize % 3))).collect());
+    let all = d.pass(8000.0);
+    for id in 1..=12 {
+        assert!(answered(&all, id), "request {id}");
+    }
+}
+
+#[test]
+fn the_due_time_is_the_callers_wait_where_that_is_told() {
+    let mut s = settings();
+    s.tells_wait = true;
+    let mut d = Driver::new(s);
+    let mut a = arrival(1, UNSAFE);
+    a.wait_left = 700.0;
+    d.one(Event::Arrived(a));
+    assert!(answered(&d.pass(700.0), 1));
+}
+
+#[test]
+fn the_due_time_counts_from_reaching_the_machine() {
+    let mut d = Driver::new(settings());
+    let mut a = arrival(1, UNSAFE);
+    a.age = 7000.0;
+    d.one(Event::Arrived(a));
+    assert!(answered(&d.pass(1000.0), 1));
+}
+
+#[test]
+fn what_is_hopeless_on_reading_is_answered_at_once() {
+    let mut d = Driver::new(settings());
+    let mut a = arrival(1, SAFE);
+    a.age = 7990.0;
+    assert!(refused(&d.one(Event::Arrived(a)), 1));
+}
+
+#[test]
+fn requests_at_a_call_and_waiting_for_another_ones_result_are_owed_answers_too() {
+    let mut d = Driver::new(settings());
+    d.batch(vec![Event::Arrived(arrival(1, KEYED)), Event::Arrived(arrival(2, SAFE))]);
+    let mut again = arrival(3, KEYED);
+    again.repeats = Some(1);
+    assert!(d.one(Event::Arrived(again)).contains(&Action::Reuse(3)));
+    d.one(Event::NeedsCall(2));
+    let all = d.pass(8000.0);
+    for id in 1..=3 {
+        assert!(answered(&all, id), "request {id}");
+    }
+}
+
+#[test]
+fn nothing_is_owed_to_a_caller_that_left() {
+    let mut d = Driver::new(settings());
+    d.batch(many(1..=6, SAFE));
+    d.batch((1..=6).map(Event::CallerGone).collect());
+    let all = d.pass(9000.0);
+    assert!((1..=6).all(|id| !answered(&all, id)));
+}
+
+// ---- Rule 2 ----
+
+#[test]
+fn a_keyed_request_is_remembered_before_it_runs_until_its_window_after_arrival_ends() {
+    let mut d = Driver::new(settings());
+    let mut a = arrival(1, KEYED);
+    a.age = 300.0;
+    let actions = d.one(Event::Arrived(a));
+    let remember =
+        actions.iter().position(|a| matches!(a, Action::Remember { id: 1, .. })).expect("remembered");
+    let run = actions.iter().position(|a| *a == Action::Run(1)).expect("run");
+    assert!(remember < run);
+    let Action::Remember { span, .. } = actions[remember] else { unreachable!() };
+    assert!((19_700.0..19_800.0).contains(&span), "{span}");
+}
+
+#[test]
+fn repeats_of_a_keyed_request_share_its_result_and_never_run() {
+    let mut d = Driver::new(settings());
+    d.arrive(1, KEYED);
+    let repeat = |id| {
+        let mut a = arrival(id, KEYED);
+        a.repeats = Some(1);
+        Event::Arrived(a)
+    };
+    // While it runs, after it ended well, several in one batch, and after it failed.
+    let actions = d.one(repeat(2));
+    assert!(actions.contains(&Action::Reuse(2)) && runs(&actions).is_empty());
+    d.finish(1, 100.0);
+    let actions = d.batch(vec![repeat(3), repeat(4)]);
+    assert!(actions.contains(&Action::Reuse(3)) && actions.contains(&Action::Reuse(4)));
+    assert!(runs(&actions).is_empty());
+    // One read too late for anything is failed, not refused: what it repeats has run.
+    let mut late = arrival(5, KEYED);
+    (late.repeats, late.age) = (Some(1), 7990.0);
+    assert!(d.one(Event::Arrived(late)).contains(&Action::Fail(5)));
+}
+
+#[test]
+fn no_run_of_a_keyed_request_without_room_to_remember_it() {
+    let mut s = settings();
+    s.memory_kb = 400.0;
+    s.entry_kb = 500.0;
+    let mut d = Driver::new(s);
+    let actions = d.arrive(1, KEYED);
+    assert!(refused(&actions, 1) && runs(&actions).is_empty());
+}
+
+#[test]
+fn the_entry_of_a_keyed_request_that_never_ran_is_freed() {
+    let mut d = Driver::new(settings());
+    d.gauges = FULL;
+    d.batch(many(1..=5, KEYED));
+    let all = d.pass(7990.0);
+    let never_ran = (1..=5).find(|id| refused(&all, *id)).expect("one was held to its end");
+    assert!(all.contains(&Action::Forget(never_ran)));
+}
+
+#[test]
+fn what_ran_and_may_not_run_again_is_failed_never_refused() {
+    for class in [KEYED, UNSAFE] {
+        let mut d = Driver::new(settings());
+        d.arrive(1, class);
+        let all = d.pass(8000.0);
+        assert!(all.contains(&Action::Fail(1)) && !refused(&all, 1));
+    }
+}
+
+#[test]
+fn a_call_is_repeated_only_after_an_outcome_that_proves_it_never_ran_or_for_a_safe_request() {
+    use Outcome::*;
+    for class in [SAFE, KEYED, UNSAFE] {
+        for outcome in [Error, Rejected, TimedOut, Unreachable, Broken, Moot] {
+            let mut d = Driver::new(settings());
+            d.arrive(1, class);
+            d.one(Event::NeedsCall(1));
+            let mut all = d.one(Event::CallEnded { id: 1, outcome, took: 20.0 });
+            all.extend(d.pass(500.0));
+            let repeated = all.iter().any(|a| matches!(a, Action::Call { .. }));
+            let allowed = class == SAFE || matches!(outcome, Rejected | Unreachable | Moot);
+            assert_eq!(repeated, allowed, "class {class} after {outcome:?}");
+            assert_eq!(all.contains(&Action::Fail(1)), !allowed, "class {class} after {outcome:?}");
+        }
+    }
+}
+
+// ---- Rule 3 ----
+
+#[test]
+fn on_leaving_health_and_share_say_so() {
+    let mut d = Driver::new(settings());
+    let actions = d.one(Event::Leaving { left: 5000.0 });
+    assert!(actions.contains(&Action::Health { good: false, stored: true }));
+    assert!(actions.contains(&Action::Tell(0.0)));
+}
+
+#[test]
+fn what_arrives_past_the_grace_is_given_back_by_arrival_not_by_reading() {
+    let mut d = Driver::new(settings());
+    d.one(Event::Leaving { left: 6000.0 });
+    d.pass(2500.0);
+    let mut early = arrival(1, SAFE);
+    early.age = 600.0;
+    assert_eq!(runs(&d.one(Event::Arrived(early))), [1]);
+    let actions = d.arrive(2, SAFE);
+    assert!(runs(&actions).is_empty());
+    assert!(
+        actions.iter().any(|a| matches!(a, Action::Refuse { id: 2, pause, last: false } if *pause == 1000.0))
+    );
+}
+
+#[test]
+fn everything_is_answered_before_the_stop() {
+    let mut d = Driver::new(settings());
+    d.gauges = FULL;
+    d.batch((1..=9).map(|id| Event::Arrived(arrival(id, id as usize % 3))).collect());
+    d.one(Event::Leaving { left: 3000.0 });
+    let all = d.pass(2900.0);
+    for id in 1..=9 {
+        assert!(answered(&all, id), "request {id}");
+    }
+}
+
+// ---- Rule 4 ----
+
+#[test]
+fn held_requests_give_way_before_memory_runs_out() {
+    let mut s = settings();
+    s.memory_kb = 1000.0;
+    let mut d = Driver::new(s);
+    let mut actions = d.batch(many(1..=100, SAFE));
+    actions.extend(d.batch(many(101..=200, SAFE)));
+    let gone = (1..=200).filter(|id| answered(&actions, *id)).count();
+    let running = runs(&actions).len();
+    assert!(running > 0);
+    let used = (200 - gone - running) as f64 * 10.0 + running as f64 * 80.0;
+    assert!(used <= 1000.0, "{used} kB");
+}
+
+#[test]
+fn a_cold_server_runs_less_of_a_crowd() {
+    let started = |cold: bool| {
+        let mut s = settings();
+        (s.cold, s.cold_share) = (cold, 0.05);
+        let mut d = Driver::new(s);
+        d.gauges.on_cores = Some(0.0);
+        d.pass(60.0);
+        d.batch(many(1..=80, SAFE));
+        for id in 1..=30 {
+            d.finish(id, 60.0);
+        }
+        d.started() - 30
+    };
+    assert!(started(true) <= 5, "{}", started(true));
+    assert!(started(false) > 10 && started(false) < 20, "{}", started(false));
+}
+
+#[test]
+fn calls_in_hand_stay_under_the_told_share_abandoned_ones_included() {
+    let mut s = settings();
+    s.below = Below::Shared;
+    s.call_share = 2.5;
+    let mut d = Driver::new(s);
+    let first = runs(&d.batch(many(1..=4, UNSAFE)));
+    let mut calls = vec![];
+    for id in first {
+        calls.extend(d.one(Event::NeedsCall(id)));
+    }
+    assert_eq!(calls.iter().filter(|a| matches!(a, Action::Call { .. })).count(), 2);
+    let actions = d.one(Event::CallEnded { id: 1, outcome: Outcome::TimedOut, took: 50.0 });
+    assert!(!actions.iter().any(|a| matches!(a, Action::Call { .. })), "the abandoned call lingers below");
+    let later = d.pass(260.0);
+    assert!(later.iter().any(|a| matches!(a, Action::Call { .. })));
+}
+
+// ---- Found on the bench ----
+
+/// A quiet day refused large requests at once by their estimate, on idle cores.
+#[test]
+fn a_large_request_is_tried_while_cores_idle() {
+    let mut d = Driver::new(settings());
+    d.pass(60.0);
+    for id in 1..=30 {
+        let mut a = arrival(id, SAFE);
+        a.work = Some(100.0);
+        d.one(Event::Arrived(a));
+        d.pass(150.0);
+        d.finish(id, 150.0);
+    }
+    let mut big = arrival(99, SAFE);
+    big.work = Some(2000.0);
+    assert_eq!(runs(&d.one(Event::Arrived(big))), [99]);
+}
+
+/// Slow servers with an empty hold and seconds of unread wait advised no pause.
+#[test]
+fn advice_to_stay_away_covers_the_unread_wait() {
+    let mut d = Driver::new(settings());
+    let mut a = arrival(1, SAFE);
+    a.age = 7990.0;
+    let actions = d.one(Event::Arrived(a));
+    assert!(matches!(actions.first(), Some(Action::Refuse { pause, .. }) if *pause == 1000.0), "{actions:?}");
+}
+
+/// Under overload, what can only be late gives way at once to what can be in time.
+#[test]
+fn no_late_service_under_overload() {
+    let mut d = Driver::new(settings());
+    d.gauges = FULL;
+    for id in 1..=60 {
+        let mut a = arrival(id, SAFE);
+        a.age = 1200.0;
+        d.one(Event::Arrived(a));
+        d.pass(50.0);
+        d.finish(id, 50.0);
+    }
+    assert!(d.told() < 0.9);
+    d.batch(many(100..=103, SAFE));
+    d.arrive(104, SAFE);
+    assert!(refused(&d.pass(2100.0), 104));
+}
+
+#[test]
+fn odd_input_is_no_panic() {
+    let mut d = Driver::new(settings());
+    d.batch(vec![
+        Event::Arrived(arrival(1, 99)),
+        Event::CallerGone(77),
+        Event::NeedsCall(77),
+        Event::CallEnded { id: 77, outcome: Outcome::Ok, took: 1.0 },
+        Event::RunEnded { id: 77, outcome: Outcome::Moot, took: 0.0 },
+        Event::TimerFired(Gauges::default()),
+        Event::Leaving { left: 0.0 },
+        Event::Arrived(arrival(2, SAFE)),
+    ]);
+    d.pass(1000.0);
+}
