--- a/src/choice.rs
+++ b/src/choice.rs
@@ -74,8 +74,7 @@
     off_since: f64,
     off_time: f64,
     calls: u32,
-    /// Its estimated work over its class's mean.
-    scale: f64,
+    work: f64,
 }
 
 /// Order of the hold: most worth per unit of work first, then the nearest aim.
@@ -94,20 +93,32 @@
     }
 }
 
-/// What the runs of a class have shown.
+/// What the runs of a class have shown: their time against their estimate, and their time off the cores.
 #[derive(Clone, Copy, Default)]
 struct Learned {
     run: Mean,
-    off: Mean,
     work: Mean,
+    work_squared: Mean,
+    run_by_work: Mean,
+    off: Mean,
 }
 
 impl Learned {
-    /// What an estimate says of a request against the mean of its class; 1 where there is none.
-    fn scale(&mut self, work: Option<f64>) -> f64 {
-        let Some(work) = work else { return 1.0 };
+    fn ran(&mut self, work: f64, run: f64, off: f64) {
+        self.run.add(run);
         self.work.add(work);
-        work / self.work.value
+        self.work_squared.add(work * work);
+        self.run_by_work.add(run * work);
+        self.off.add(off);
+    }
+
+    /// The line through what was seen: where estimates are rough, a large one says less than it seems to.
+    fn run_time(&self, work: Option<f64>) -> f64 {
+        let (run, mean) = (self.run.value, self.work.value);
+        let spread = self.work_squared.value - mean * mean;
+        let Some(work) = work.filter(|_| spread > 0.0 && mean > 0.0) else { return run };
+        let slope = ((self.run_by_work.value - run * mean) / spread).clamp(0.0, run / mean);
+        run + slope * (work - mean)
     }
 }
 
@@ -236,8 +247,6 @@
         self.kb_largest = self.kb_largest.max(a.kb);
         self.share.read(a.age);
         let over_share = self.over_share(a.tenant);
-        let learned = &mut self.learned[a.class];
-        let scale = learned.scale(a.work);
         let mut request = Request {
             class: a.class,
             kb: a.kb,
@@ -246,7 +255,7 @@
             aim_at: (reached + class.aim + stretch).min(due),
             late: false,
             over_share,
-            run_time: learned.run.value * scale,
+            run_time: self.learned[a.class].run_time(a.work),
             key: (0, 0, a.id),
             stage: Stage::Held,
             answered: false,
@@ -254,7 +263,7 @@
             off_since: 0.0,
             off_time: 0.0,
             calls: 0,
-            scale,
+            work: a.work.unwrap_or(0.0),
         };
         // Rule 2. A repeat of what may have run is never run itself: it shares that run's result.
         let repeats = a.repeats.is_some() && (class.effect == Effect::Keyed || self.set.fresh > 0.0);
@@ -319,8 +328,7 @@
         let own = (took - request.off_time).max(0.0);
         let learned = &mut self.learned[request.class];
         if outcome == Outcome::Ok {
-            learned.run.add(own / request.scale);
-            learned.off.add(request.off_time);
+            learned.ran(request.work, own, request.off_time);
         }
         self.share.finished(request.held_for);
         let aim = self.set.classes[request.class].aim;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -308,3 +308,24 @@
     ]);
     d.pass(1000.0);
 }
+
+/// Where estimates are rough, runs grow far less than their estimates; a large request was refused for nothing.
+#[test]
+fn a_rough_estimate_is_read_by_what_runs_have_shown() {
+    let mut d = Driver::new(settings());
+    d.pass(60.0);
+    for id in 1..=60 {
+        let mut a = arrival(id, SAFE);
+        let work = if id % 2 == 0 { 50.0 } else { 250.0 };
+        a.work = Some(work);
+        d.one(Event::Arrived(a));
+        d.pass(300.0);
+        // Five times the estimate took a fifth longer.
+        d.finish(id, 270.0 + work * 0.3);
+    }
+    d.gauges = FULL;
+    let mut big = arrival(99, SAFE);
+    big.work = Some(2000.0);
+    d.batch(vec![Event::Arrived(arrival(98, SAFE)), Event::Arrived(big)]);
+    assert!(d.log.iter().any(|(_, a)| *a == Action::Run(99)));
+}
