--- a/src/choice.rs
+++ b/src/choice.rs
@@ -32,7 +32,7 @@
 /// Part of the surviving crowd that the module itself will fill; the rest is for reading and surprises.
 const CROWD_USED: f64 = 0.7;
 /// Weight of the newest sample in running means.
-const LEARN: f64 = 0.1;
+const LEARN: f64 = 0.15;
 /// A request is hopeless only when even this part of its expected service no longer fits.
 const OPTIMISM: f64 = 1.0;
 /// A repeatable call is abandoned after this multiple of the usual call, or half the time left if longer.
@@ -40,7 +40,7 @@
 /// Calls that may be repeated are issued at most so often.
 const CALL_TRIES: u32 = 4;
 /// Seconds of quota that a tenant may send at once and still be within its share.
-const QUOTA_BURST: f64 = 2.0;
+const QUOTA_BURST: f64 = 10.0;
 
 // ---- State ----
 
@@ -180,7 +180,7 @@
             table: KeyTable::default(),
             learned: vec![Learned::default(); set.classes.len()],
             call_time: Mean::default(),
-            quotas: set.tenants.iter().map(|t| (t.quota_per_s, now)).collect(),
+            quotas: set.tenants.iter().map(|t| (t.quota_per_s / set.servers.max(1.0) * QUOTA_BURST, now)).collect(),
             gauges: Gauges::default(),
             kb_held: 0.0,
             kb_running: 0.0,
