--- a/src/choice.rs
+++ b/src/choice.rs
@@ -180,7 +180,11 @@
             table: KeyTable::default(),
             learned: vec![Learned::default(); set.classes.len()],
             call_time: Mean::default(),
-            quotas: set.tenants.iter().map(|t| (t.quota_per_s / set.servers.max(1.0) * QUOTA_BURST, now)).collect(),
+            quotas: set
+                .tenants
+                .iter()
+                .map(|t| (t.quota_per_s / set.servers.max(1.0) * QUOTA_BURST, now))
+                .collect(),
             gauges: Gauges::default(),
             kb_held: 0.0,
             kb_running: 0.0,
