--- a/src/choice.rs
+++ b/src/choice.rs
@@ -12,7 +12,7 @@
 /// Sample period of the send share and of the limit's cut, as a part of the time callers heed a share.
 const PERIOD: f64 = 0.25;
 /// Setpoint of the mean hold time, as a part of the shortest class aim.
-const SETPOINT: f64 = 0.4;
+const SETPOINT: f64 = 0.15;
 const KP: f64 = 0.1;
 /// Per second.
 const KI: f64 = 0.12;
@@ -622,9 +622,6 @@
         request.answered = true;
         match stage {
             Stage::Held => {
-                // Exception: what leaves the hold unserved counts as held, for the wait that it had or faced.
-                let waited = self.now - request.reached;
-                self.share.finished(waited.max(self.hold_work / self.limit.value));
                 out.push(self.refusal(id, last));
                 self.table.remove(id, out);
                 self.forget(id);
