--- a/src/choice.rs
+++ b/src/choice.rs
@@ -39,6 +39,8 @@
 const PATIENCE: f64 = 4.0;
 /// Calls that may be repeated are issued at most so often.
 const CALL_TRIES: u32 = 4;
+/// Advice to stay away lasts for this part of a newcomer's wait: whole traffics that stop leave cores idle.
+const ADVICE: f64 = 0.5;
 /// Seconds of quota that a tenant may send at once and still be within its share.
 const QUOTA_BURST: f64 = 10.0;
 
@@ -647,11 +649,11 @@
         }
     }
 
-    /// Turned away, with advice to stay away for as long as a newcomer would wait, unread or held.
+    /// Turned away, with advice to stay away for a part of what a newcomer would wait, unread or held.
     fn refusal(&mut self, id: RequestId, last: bool) -> Action {
         self.rng = self.rng.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         let spread = 0.75 + 0.5 * ((self.rng >> 40) as f64 / (1u64 << 24) as f64);
-        let wait = (self.hold_work / self.limit.value).max(self.share.unread) * spread;
+        let wait = (self.hold_work / self.limit.value).max(self.share.unread) * spread * ADVICE;
         let wait = if self.leaving.is_some() { f64::MAX } else { wait };
         Action::Refuse { id, pause: wait.min(self.set.longest_pause), last }
     }
