--- a/src/choice.rs
+++ b/src/choice.rs
@@ -595,9 +595,7 @@
     fn late_or_never(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         if request.late || self.set.classes[request.class].late_worth <= 0.0 || self.share.value < 0.9 {
-            let need = request.run_time + self.learned[request.class].off.value;
-            let last = request.aim_at - self.now < 2.0 * need;
-            self.give_up(id, last, out);
+            self.give_up(id, true, out);
             return;
         }
         self.hold.remove(&request.key);
