--- a/src/choice.rs
+++ b/src/choice.rs
@@ -24,7 +24,7 @@
 /// The limit is cut to this part of itself.
 const CUT: f64 = 0.8;
 /// Cores busier than this are near full.
-const NEAR_FULL: f64 = 0.85;
+const NEAR_FULL: f64 = 0.75;
 /// Part of the told share of calls that is used: the fleet dies of the mean reaching the whole.
 const CALLS_USED: f64 = 0.85;
 /// Part of what the told share leaves beyond whole permits that accrues; the rest bounds a single loan.
