--- a/src/choice.rs
+++ b/src/choice.rs
@@ -41,8 +41,6 @@
 const CALL_TRIES: u32 = 4;
 /// Advice to stay away lasts for this part of a newcomer's wait: whole traffics that stop leave cores idle.
 const ADVICE: f64 = 0.5;
-/// A refusal's advice spares about so many requests of its caller.
-const SPARED: f64 = 2.0;
 /// Seconds of quota that a tenant may send at once and still be within its share.
 const QUOTA_BURST: f64 = 10.0;
 
@@ -382,8 +380,6 @@
     reads: f64,
     /// How long the newest arrival had waited unread.
     unread: f64,
-    /// Reads a ms.
-    rate: Mean,
     delay: f64,
     integral: f64,
     error: f64,
@@ -402,7 +398,6 @@
             unread_sum: 0.0,
             reads: 0.0,
             unread: 0.0,
-            rate: Mean::default(),
             delay: 0.0,
             integral: 0.0,
             error: 0.0,
@@ -445,7 +440,6 @@
         let wanted = wanted.clamp(self.value - STEP, self.value + STEP);
         self.value = wanted.clamp(SHARE_FLOOR, 1.0);
         (self.error, self.sampled_at, self.hold_sum, self.finished) = (error, now, 0.0, 0.0);
-        self.rate.add(self.reads / (dt * 1000.0));
         (self.unread_sum, self.reads) = (0.0, 0.0);
     }
 }
@@ -659,8 +653,7 @@
     fn refusal(&mut self, id: RequestId, last: bool) -> Action {
         self.rng = self.rng.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         let spread = 0.75 + 0.5 * ((self.rng >> 40) as f64 / (1u64 << 24) as f64);
-        let next = self.set.callers.max(1.0) / self.share.rate.value.max(f64::MIN_POSITIVE);
-        let wait = (self.share.unread * ADVICE).max(next * SPARED) * spread;
+        let wait = (self.hold_work / self.limit.value).max(self.share.unread) * spread * ADVICE;
         let wait = if self.leaving.is_some() { f64::MAX } else { wait };
         Action::Refuse { id, pause: wait.min(self.set.longest_pause), last }
     }
