--- a/src/choice.rs
+++ b/src/choice.rs
@@ -41,6 +41,8 @@
 const CALL_TRIES: u32 = 4;
 /// Advice to stay away lasts for this part of a newcomer's wait: whole traffics that stop leave cores idle.
 const ADVICE: f64 = 0.5;
+/// Unread wait beyond so many setpoints cuts the limit.
+const STARVED: f64 = 1.5;
 /// Seconds of quota that a tenant may send at once and still be within its share.
 const QUOTA_BURST: f64 = 10.0;
 
@@ -456,6 +458,10 @@
             held.fold(0.0, |oldest: f64, r| oldest.max(self.now - r.reached))
         };
         self.share.sample(self.now, oldest, self.running > 0.0);
+        // Exception: reading that starves beside a crowd cuts the limit before a run can finish past its aim.
+        if self.share.unread > self.share.setpoint * STARVED {
+            self.limit.cut(self.now, self.set.cores);
+        }
         // A cold server asks for no more than its part of the speed.
         let value = self.share.value.min(self.speed_share()).max(SHARE_FLOOR);
         if (value - self.share.told).abs() >= 0.01 || (value == 1.0 && self.share.told != 1.0) {
@@ -497,13 +503,19 @@
 impl RunLimit {
     fn finished(&mut self, now: f64, past_aim: bool, work_held: bool, gauges: &Gauges, cores: f64) {
         let near_full = gauges.core_use.is_some_and(|u| u >= NEAR_FULL);
-        if near_full && past_aim && now - self.cut_at >= self.period {
-            self.cut_at = now;
-            self.value = (self.value * CUT).max(cores);
+        if near_full && past_aim {
+            self.cut(now, cores);
         } else if work_held && !near_full && gauges.on_cores.is_some_and(|n| n < cores) {
             self.value += 1.0;
         }
     }
+
+    fn cut(&mut self, now: f64, cores: f64) {
+        if now - self.cut_at >= self.period {
+            self.cut_at = now;
+            self.value = (self.value * CUT).max(cores);
+        }
+    }
 }
 
 impl Choice {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -329,3 +329,29 @@
     d.batch(vec![Event::Arrived(arrival(98, SAFE)), Event::Arrived(big)]);
     assert!(d.log.iter().any(|(_, a)| *a == Action::Run(99)));
 }
+
+/// On a slow server ten runs beside six reads left arrivals unread for seconds, where nothing can refuse them.
+#[test]
+fn starved_reading_cuts_the_limit_before_a_run_ends_past_its_aim() {
+    let mut d = Driver::new(settings());
+    d.batch(many(1..=30, UNSAFE));
+    d.pass(60.0);
+    for id in 1..=6 {
+        d.finish(id, 60.0);
+    }
+    d.gauges = FULL;
+    for id in 100..108 {
+        let mut a = arrival(id, UNSAFE);
+        a.age = 1000.0;
+        d.one(Event::Arrived(a));
+        d.pass(250.0);
+    }
+    let before = d.started();
+    // Ten run; the limit is back at four, so six may end before another begins.
+    for id in 7..=12 {
+        d.finish(id, 500.0);
+    }
+    assert_eq!(d.started(), before);
+    d.finish(13, 500.0);
+    assert_eq!(d.started(), before + 1);
+}
