Failing servers give requests back; starved reading cuts the limit below the cores; shorter module

A failed run counts as held for its aim, and a mostly failing server tries one safe request a period and gives the rest back.

--- a/crates/loomflow-adapter/src/wire.rs
+++ b/crates/loomflow-adapter/src/wire.rs
@@ -17,6 +17,7 @@
 
 struct Instance {
     choice: Choice,
+    classes: usize,
     gauges: Vec<String>,
     actions: Vec<Action>,
     touched: bool,
@@ -63,8 +64,11 @@
                 let info = child(item, "Settings")?;
                 let seed = whole(item, "Seed")?;
                 let gauges = texts(child(info, "Domain")?, "Gauges")?;
-                let choice = Choice::new(settings(info).map_err(|e| format!("Settings: {e}"))?, seed, now);
-                self.instances.insert(id, Instance { choice, gauges, actions: Vec::new(), touched: true });
+                let settings = settings(info).map_err(|e| format!("Settings: {e}"))?;
+                let classes = settings.classes.len();
+                let choice = Choice::new(settings, seed, now);
+                self.instances
+                    .insert(id, Instance { choice, classes, gauges, actions: vec![], touched: true });
                 order.push(id);
                 return Ok(());
             }
@@ -77,7 +81,7 @@
         let instance =
             self.instances.get_mut(&id).ok_or_else(|| format!("field ServerId: instance {id} is unknown"))?;
         let event = match name {
-            "WORK_ITEM" => Event::Arrived(arrival(item, instance.choice.settings())?),
+            "WORK_ITEM" => Event::Arrived(arrival(item, instance.classes)?),
             "WITHDRAWN" => Event::CallerGone(request(item, "Ref")?),
             "ALARM" => Event::TimerFired(gauges(item, &instance.gauges)?),
             "BLOCKED" => Event::NeedsCall(request(item, "Ref")?),
@@ -243,9 +247,9 @@
     })
 }
 
-fn arrival(item: &Object, settings: &Settings) -> Read<Arrival> {
+fn arrival(item: &Object, classes: usize) -> Read<Arrival> {
     let class = whole(item, "Service")? as usize;
-    if class >= settings.classes.len() {
+    if class >= classes {
         return Err(format!("field Service: class {class} is unknown"));
     }
     let tenant = if present(item, "Account").is_some() { whole(item, "Account")? as usize } else { 0 };
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -39,17 +39,22 @@
 const PATIENCE: f64 = 4.0;
 /// Calls that may be repeated are issued at most so often.
 const CALL_TRIES: u32 = 4;
+/// A lower share is a sign of overload.
+const OVERLOADED: f64 = 0.9;
 /// Advice to stay away lasts for this part of a newcomer's wait: whole traffics that stop leave cores idle.
 const ADVICE: f64 = 0.5;
 /// Unread wait beyond so many setpoints cuts the limit.
 const STARVED: f64 = 1.5;
+/// A server with a higher share of failed runs gives its requests back.
+const FAILING: f64 = 0.5;
 /// Seconds of quota that a tenant may send at once and still be within its share.
 const QUOTA_BURST: f64 = 10.0;
 
 // ---- State ----
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Default, PartialEq)]
 enum Stage {
+    #[default]
     Held,
     /// Waits for, or is served from, the result of another request.
     Reusing,
@@ -59,6 +64,7 @@
     Calling,
 }
 
+#[derive(Default)]
 struct Request {
     class: usize,
     kb: f64,
@@ -144,6 +150,9 @@
     table: KeyTable,
     learned: Vec<Learned>,
     call_time: Mean,
+    /// Share of runs that ended in an error of late, and when the next one may be tried while that is high.
+    failing: Mean,
+    probe_at: f64,
     quotas: Vec<(f64, f64)>,
     gauges: Gauges,
     kb_held: f64,
@@ -184,11 +193,9 @@
             table: KeyTable::default(),
             learned: vec![Learned::default(); set.classes.len()],
             call_time: Mean::default(),
-            quotas: set
-                .tenants
-                .iter()
-                .map(|t| (t.quota_per_s / set.servers.max(1.0) * QUOTA_BURST, now))
-                .collect(),
+            failing: Mean { value: 0.0, samples: 100 },
+            probe_at: now,
+            quotas: set.tenants.iter().map(|_| (f64::MAX, now)).collect(),
             gauges: Gauges::default(),
             kb_held: 0.0,
             kb_running: 0.0,
@@ -199,10 +206,6 @@
         }
     }
 
-    pub fn settings(&self) -> &Settings {
-        &self.set
-    }
-
     /// Takes in one event. Only what cannot wait for the end of the batch is answered here.
     pub fn event(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
         self.now = now;
@@ -236,7 +239,11 @@
         }
         self.trim(out);
         self.issue_calls(out);
-        self.start_runs(out);
+        if self.failing.value > FAILING {
+            self.while_failing(out);
+        } else {
+            self.start_runs(out);
+        }
         self.guard_memory(out);
     }
 
@@ -261,17 +268,11 @@
             reached,
             due,
             aim_at: (reached + class.aim + stretch).min(due),
-            late: false,
             over_share,
             run_time: self.learned[a.class].run_time(a.work),
             key: (0, 0, a.id),
-            stage: Stage::Held,
-            answered: false,
-            held_for: 0.0,
-            off_since: 0.0,
-            off_time: 0.0,
-            calls: 0,
             work: a.work.unwrap_or(0.0),
+            ..Request::default()
         };
         // Rule 2. A repeat of what may have run is never run itself: it shares that run's result.
         let repeats = a.repeats.is_some() && (class.effect == Effect::Keyed || self.set.fresh > 0.0);
@@ -328,7 +329,7 @@
         let Some(request) = self.forget(id) else { return };
         if request.stage == Stage::Calling {
             // Answered meanwhile: its call is abandoned with it, and may linger below.
-            self.calls.linger(self.now + self.set.call_lingers);
+            self.calls.lingering.push(self.now + self.set.call_lingers);
         }
         if request.stage == Stage::Reusing || !matches!(outcome, Outcome::Ok | Outcome::Error) {
             return;
@@ -338,8 +339,11 @@
         if outcome == Outcome::Ok {
             learned.ran(request.work, own, request.off_time);
         }
-        self.share.finished(request.held_for);
         let aim = self.set.classes[request.class].aim;
+        // Exception: a run that failed counts as held for its aim, so that quick failures do not read as
+        // health.
+        self.failing.add(if outcome == Outcome::Ok { 0.0 } else { 1.0 });
+        self.share.finished(if outcome == Outcome::Ok { request.held_for } else { aim });
         let held = !self.hold.is_empty();
         self.limit.finished(self.now, own > aim, held, &self.gauges, self.set.cores);
     }
@@ -348,23 +352,16 @@
     fn forget(&mut self, id: RequestId) -> Option<Request> {
         let request = self.requests.remove(&id)?;
         match request.stage {
-            Stage::Held => {
-                self.hold.remove(&request.key);
-                self.hold_work -= request.run_time;
-                self.kb_held -= request.kb;
-            }
-            Stage::Reusing => self.kb_held -= request.kb,
-            Stage::Running => {
-                self.running -= 1.0;
-                self.kb_running -= request.kb;
-            }
-            Stage::NeedsCall | Stage::Calling => {
-                self.calls.waiting_off(request.key);
-                if request.stage == Stage::Calling {
-                    self.calls.in_hand -= 1.0;
-                }
-                self.kb_running -= request.kb;
-            }
+            Stage::Held => self.out_of_hold(request.key, request.run_time),
+            Stage::Reusing => {}
+            Stage::Running => self.running -= 1.0,
+            Stage::NeedsCall => self.calls.waiting_off(request.key),
+            Stage::Calling => self.calls.in_hand -= 1.0,
+        }
+        if matches!(request.stage, Stage::Held | Stage::Reusing) {
+            self.kb_held -= request.kb;
+        } else {
+            self.kb_running -= request.kb;
         }
         Some(request)
     }
@@ -372,6 +369,7 @@
 
 // ---- The send share: a PID loop on hold time ----
 
+#[derive(Default)]
 struct SendShare {
     setpoint: f64,
     period: f64,
@@ -391,21 +389,7 @@
 
 impl SendShare {
     fn new(setpoint: f64, period: f64, now: f64) -> SendShare {
-        SendShare {
-            setpoint,
-            period,
-            sampled_at: now,
-            hold_sum: 0.0,
-            finished: 0.0,
-            unread_sum: 0.0,
-            reads: 0.0,
-            unread: 0.0,
-            delay: 0.0,
-            integral: 0.0,
-            error: 0.0,
-            value: 1.0,
-            told: 1.0,
-        }
+        SendShare { setpoint, period, sampled_at: now, value: 1.0, told: 1.0, ..SendShare::default() }
     }
 
     fn read(&mut self, unread: f64) {
@@ -436,10 +420,8 @@
         let rest = 1.0 + KP * error + KD * (error - self.error) / dt;
         let (low, high) = ((SHARE_FLOOR - rest) / KI, (1.0 - rest) / KI);
         let moved = self.integral + error * dt;
-        let held = moved.clamp(low.min(self.integral), high.max(self.integral));
-        self.integral = held;
-        let wanted = rest + KI * held;
-        let wanted = wanted.clamp(self.value - STEP, self.value + STEP);
+        self.integral = moved.clamp(low.min(self.integral), high.max(self.integral));
+        let wanted = (rest + KI * self.integral).clamp(self.value - STEP, self.value + STEP);
         self.value = wanted.clamp(SHARE_FLOOR, 1.0);
         (self.error, self.sampled_at, self.hold_sum, self.finished) = (error, now, 0.0, 0.0);
         (self.unread_sum, self.reads) = (0.0, 0.0);
@@ -458,9 +440,8 @@
             held.fold(0.0, |oldest: f64, r| oldest.max(self.now - r.reached))
         };
         self.share.sample(self.now, oldest, self.running > 0.0);
-        // Exception: reading that starves beside a crowd cuts the limit before a run can finish past its aim.
-        if self.share.unread > self.share.setpoint * STARVED {
-            self.limit.cut(self.now, self.set.cores);
+        if self.starved() {
+            self.limit.cut(self.now, self.set.cores / 3.0);
         }
         // A cold server asks for no more than its part of the speed.
         let value = self.share.value.min(self.speed_share()).max(SHARE_FLOOR);
@@ -470,6 +451,12 @@
         }
     }
 
+    /// Exception: reading that starves beside a crowd cuts the limit before a run can finish past its aim,
+    /// and below the cores while it lasts: what is read stale can be refused, what waits unread cannot.
+    fn starved(&self) -> bool {
+        self.share.unread > self.share.setpoint * STARVED
+    }
+
     fn tell(&self, share: f64, out: &mut Vec<Action>) {
         match self.set.signal {
             Signal::Unused => {}
@@ -510,10 +497,10 @@
         }
     }
 
-    fn cut(&mut self, now: f64, cores: f64) {
+    fn cut(&mut self, now: f64, floor: f64) {
         if now - self.cut_at >= self.period {
             self.cut_at = now;
-            self.value = (self.value * CUT).max(cores);
+            self.value = (self.value * CUT).max(floor);
         }
     }
 }
@@ -525,11 +512,43 @@
         (survives * CROWD_USED - self.calls.in_hand).max(1.0)
     }
 
+    /// Exception: while most runs here fail, one safe request a period is tried and all others are given
+    /// back at once, to be served elsewhere. Guards against a server that fails whatever it runs and so
+    /// draws in more than any other; could harm where it is the requests that are at fault, or what all
+    /// servers call.
+    fn while_failing(&mut self, out: &mut Vec<Action>) {
+        let safe = |k: &&HoldKey| {
+            let class = self.requests.get(&k.2).map(|r| self.set.classes[r.class].effect);
+            class == Some(Effect::Safe)
+        };
+        let probe = self.hold.iter().find(safe).map(|k| k.2).filter(|_| self.now >= self.probe_at);
+        if let Some(id) = probe {
+            self.probe_at = self.now + self.limit.period;
+            self.start(id, out);
+        }
+        while let Some(&(_, _, id)) = self.hold.last() {
+            self.give_up(id, false, out);
+        }
+    }
+
+    fn start(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.stage = Stage::Running;
+        request.held_for = self.now - request.reached;
+        self.kb_held -= request.kb;
+        self.kb_running += request.kb;
+        self.running += 1.0;
+        let (key, run_time) = (request.key, request.run_time);
+        self.out_of_hold(key, run_time);
+        out.push(Action::Run(id));
+    }
+
     fn start_runs(&mut self, out: &mut Vec<Action>) {
         self.limit.value = self.limit.value.min(self.set.cores * self.set.crowd * CROWD_USED);
+        let limit = if self.starved() { self.limit.value } else { self.limit.value.max(self.set.cores) };
         loop {
             let counted = self.running + self.calls.waiting();
-            if counted >= self.limit.value || self.running >= self.crowd_room() {
+            if counted >= limit || self.running >= self.crowd_room() {
                 return;
             }
             let Some(id) = self.next_to_run() else { return };
@@ -545,16 +564,7 @@
                     _ => return,
                 }
             }
-            let now = self.now;
-            let Some(request) = self.requests.get_mut(&id) else { return };
-            self.hold.remove(&request.key);
-            self.hold_work -= request.run_time;
-            self.kb_held -= request.kb;
-            self.kb_running += request.kb;
-            self.running += 1.0;
-            request.stage = Stage::Running;
-            request.held_for = now - request.reached;
-            out.push(Action::Run(id));
+            self.start(id, out);
         }
     }
 }
@@ -583,10 +593,20 @@
         self.looks.insert((us(look.min(request.due - self.margin())), id));
     }
 
+    fn out_of_hold(&mut self, key: HoldKey, run_time: f64) {
+        self.hold.remove(&key);
+        self.hold_work -= run_time;
+    }
+
+    /// The share says that more comes than can be served.
+    fn overloaded(&self) -> bool {
+        self.share.value < OVERLOADED
+    }
+
     /// The most worth first; within that the nearest aim, or under overload the farthest.
     fn next_to_run(&self) -> Option<RequestId> {
         let &(level, _, first) = self.hold.first()?;
-        if self.share.value >= 0.9 {
+        if !self.overloaded() {
             return Some(first);
         }
         self.hold.range(..(level + 1, i64::MIN, 0)).next_back().map(|k| k.2)
@@ -605,15 +625,16 @@
 
     /// A held request that misses its aim waits on for a late answer, if that earns, or is turned away.
     fn late_or_never(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let overloaded = self.overloaded();
         let Some(request) = self.requests.get_mut(&id) else { return };
-        if request.late || self.set.classes[request.class].late_worth <= 0.0 || self.share.value < 0.9 {
+        if request.late || self.set.classes[request.class].late_worth <= 0.0 || overloaded {
             self.give_up(id, true, out);
             return;
         }
-        self.hold.remove(&request.key);
-        self.hold_work -= request.run_time;
         request.late = true;
         request.aim_at = request.due - BEAT;
+        let (key, run_time) = (request.key, request.run_time);
+        self.out_of_hold(key, run_time);
         self.enter_hold(id);
     }
 
@@ -666,8 +687,9 @@
         self.rng = self.rng.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         let spread = 0.75 + 0.5 * ((self.rng >> 40) as f64 / (1u64 << 24) as f64);
         let wait = (self.hold_work / self.limit.value).max(self.share.unread) * spread * ADVICE;
-        let wait = if self.leaving.is_some() { f64::MAX } else { wait };
-        Action::Refuse { id, pause: wait.min(self.set.longest_pause), last }
+        let away = self.leaving.is_some() || self.failing.value > FAILING;
+        let pause = if away { self.set.longest_pause } else { wait.min(self.set.longest_pause) };
+        Action::Refuse { id, pause, last }
     }
 
     /// Whether a tenant sends beyond this server's even part of its quota.
@@ -692,6 +714,7 @@
 
 // ---- Calls below ----
 
+#[derive(Default)]
 struct Calls {
     /// Requests off the cores that wait for a call, in the order of the hold, and those to be tried later.
     queue: BTreeSet<HoldKey>,
@@ -715,17 +738,13 @@
         let whole = (set.call_share * CALLS_USED).floor();
         let extra = set.call_share - whole;
         Calls {
-            queue: BTreeSet::new(),
-            later: BTreeMap::new(),
-            in_hand: 0.0,
-            lingering: Vec::new(),
             whole,
-            credit: 0.0,
             most_credit: extra * (1.0 - LENT) * set.call_span,
             gain: extra * LENT,
-            at: now,
             permits: set.cores,
+            at: now,
             cut_at: now,
+            ..Calls::default()
         }
     }
 
@@ -738,10 +757,6 @@
         self.later.remove(&key);
     }
 
-    fn linger(&mut self, until: f64) {
-        self.lingering.push(until);
-    }
-
     fn all_in_hand(&self) -> f64 {
         self.in_hand + self.lingering.len() as f64
     }
@@ -860,6 +875,7 @@
         if request.stage != Stage::Calling {
             return;
         }
+        request.stage = Stage::NeedsCall;
         self.calls.in_hand -= 1.0;
         self.move_permits(outcome);
         let Some(request) = self.requests.get_mut(&id) else { return };
@@ -870,9 +886,8 @@
             self.running += 1.0;
             return;
         }
-        request.stage = Stage::NeedsCall;
         if matches!(outcome, Outcome::TimedOut | Outcome::Broken) {
-            self.calls.linger(now + self.set.call_lingers);
+            self.calls.lingering.push(now + self.set.call_lingers);
         }
         if request.answered {
             return;
@@ -923,12 +938,8 @@
             let last_look = r.due - self.margin();
             if self.now >= last_look {
                 self.give_up(id, false, out);
-            } else if r.stage == Stage::Held {
-                if self.hopeless(id, 0.0) {
-                    self.late_or_never(id, out);
-                } else {
-                    self.looks.insert((us(last_look), id));
-                }
+            } else if r.stage == Stage::Held && self.hopeless(id, 0.0) {
+                self.late_or_never(id, out);
             } else {
                 self.looks.insert((us(last_look), id));
             }
@@ -998,16 +1009,12 @@
         let ids: Vec<RequestId> = self.requests.keys().copied().collect();
         for id in ids {
             let margin = self.margin();
-            let Some(r) = self.requests.get_mut(&id) else { continue };
-            if r.due <= answer_by {
-                continue;
-            }
-            r.due = answer_by;
+            let Some(r) = self.requests.get_mut(&id).filter(|r| r.due > answer_by) else { continue };
+            (r.due, r.aim_at) = (answer_by, r.aim_at.min(answer_by));
+            let (held, key, run_time) = (r.stage == Stage::Held, r.key, r.run_time);
             self.looks.insert((us(answer_by - margin), id));
-            if r.stage == Stage::Held {
-                self.hold.remove(&r.key);
-                self.hold_work -= r.run_time;
-                r.aim_at = r.aim_at.min(answer_by);
+            if held {
+                self.out_of_hold(key, run_time);
                 self.enter_hold(id);
             }
         }
