--- a/src/choice.rs
+++ b/src/choice.rs
@@ -70,9 +70,8 @@
     kb: f64,
     reached: f64,
     due: f64,
-    /// Answered by then it earns in full; once that is out of reach and a late answer earns, `due`.
+    /// Answered by then it earns in full.
     aim_at: f64,
-    late: bool,
     over_share: bool,
     /// Expected time on the cores and at the disk, and for all of it with its calls.
     run_time: f64,
@@ -380,7 +379,6 @@
     reads: f64,
     /// How long the newest arrival had waited unread.
     unread: f64,
-    delay: f64,
     integral: f64,
     error: f64,
     value: f64,
@@ -403,19 +401,14 @@
         self.finished += 1.0;
     }
 
-    /// Exceptions to the design's delay. What was read this period may have waited unread for longer than
-    /// what finished was held: then that is the delay. And with runs under way, a period in which nothing
-    /// was held, read or finished tells nothing: the last delay stands. Both guard against a server too
-    /// slow to read or finish that would look idle, whatever slows it; they could harm where reading is
-    /// briefly behind.
-    fn sample(&mut self, now: f64, oldest_held: f64, busy: bool) {
+    /// Exception to the design's delay: what was read this period may have waited unread for longer than
+    /// what finished was held; then that is the delay. Guards against a server too slow to read or finish
+    /// that would look idle, whatever slows it; could harm where reading is briefly behind.
+    fn sample(&mut self, now: f64, oldest_held: f64) {
         let dt = (now - self.sampled_at) / 1000.0;
         let held = if self.finished > 0.0 { self.hold_sum / self.finished } else { oldest_held };
         let unread = if self.reads > 0.0 { self.unread_sum / self.reads } else { 0.0 };
-        if !busy || self.finished + self.reads + oldest_held > 0.0 {
-            self.delay = held.max(unread);
-        }
-        let error = (self.setpoint - self.delay) / self.setpoint;
+        let error = (self.setpoint - held.max(unread)) / self.setpoint;
         // Frozen at a clamp: the integral never moves past the point where it alone would reach one.
         let rest = 1.0 + KP * error + KD * (error - self.error) / dt;
         let (low, high) = ((SHARE_FLOOR - rest) / KI, (1.0 - rest) / KI);
@@ -439,7 +432,7 @@
             let held = self.hold.iter().filter_map(|k| self.requests.get(&k.2));
             held.fold(0.0, |oldest: f64, r| oldest.max(self.now - r.reached))
         };
-        self.share.sample(self.now, oldest, self.running > 0.0);
+        self.share.sample(self.now, oldest);
         if self.starved() {
             self.limit.cut(self.now, self.set.cores / 3.0);
         }
@@ -553,7 +546,7 @@
             }
             let Some(id) = self.next_to_run() else { return };
             if self.hopeless(id, 0.0) {
-                self.late_or_never(id, out);
+                self.give_up(id, true, out);
                 continue;
             }
             // Held requests of the least worth make room; else a full hold would keep the cores idle.
@@ -574,14 +567,10 @@
 impl Choice {
     fn enter_hold(&mut self, id: RequestId) {
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let class = &self.set.classes[request.class];
-        let mut worth = class.worth;
+        let mut worth = self.set.classes[request.class].worth;
         if request.over_share {
             worth *= self.set.over_share_worth;
         }
-        if request.late {
-            worth *= class.late_worth;
-        }
         if !self.set.worth_by_work && request.run_time > 0.0 {
             worth /= request.run_time;
         }
@@ -623,21 +612,6 @@
         self.now + wait + need >= r.aim_at
     }
 
-    /// A held request that misses its aim waits on for a late answer, if that earns, or is turned away.
-    fn late_or_never(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let overloaded = self.overloaded();
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        if request.late || self.set.classes[request.class].late_worth <= 0.0 || overloaded {
-            self.give_up(id, true, out);
-            return;
-        }
-        request.late = true;
-        request.aim_at = request.due - BEAT;
-        let (key, run_time) = (request.key, request.run_time);
-        self.out_of_hold(key, run_time);
-        self.enter_hold(id);
-    }
-
     /// Turns away from the low end of the hold what could not be reached in time at the present rate.
     fn trim(&mut self, out: &mut Vec<Action>) {
         while let Some(&(_, _, id)) = self.hold.last() {
@@ -645,7 +619,7 @@
             if self.hold.len() <= 1 || !self.hopeless(id, wait) {
                 return;
             }
-            self.late_or_never(id, out);
+            self.give_up(id, true, out);
         }
     }
 
@@ -939,7 +913,7 @@
             if self.now >= last_look {
                 self.give_up(id, false, out);
             } else if r.stage == Stage::Held && self.hopeless(id, 0.0) {
-                self.late_or_never(id, out);
+                self.give_up(id, true, out);
             } else {
                 self.looks.insert((us(last_look), id));
             }
