--- a/src/choice.rs
+++ b/src/choice.rs
@@ -47,6 +47,8 @@
 const STARVED: f64 = 1.5;
 /// A server with a higher share of failed runs gives its requests back.
 const FAILING: f64 = 0.5;
+/// A call is left out when so many times its wait for a permit would not fit: a queue for permits grows on.
+const TURNS: f64 = 4.0;
 /// Seconds of quota that a tenant may send at once and still be within its share.
 const QUOTA_BURST: f64 = 10.0;
 
@@ -822,7 +824,7 @@
         // Who could not get a permit in time goes on without its call, where that earns something.
         while let Some(&key) = self.calls.queue.last() {
             let Some(request) = self.requests.get(&key.2) else { break };
-            let turns = (self.calls.queue.len() as f64 / permits.max(1.0)).ceil() + 1.0;
+            let turns = TURNS * (self.calls.queue.len() as f64 / permits.max(1.0)).ceil() + 1.0;
             let in_time =
                 self.now + turns * self.call_time.value + OPTIMISM * request.run_time < request.aim_at;
             if in_time || !self.skip(key.2, out) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -383,3 +383,21 @@
     }
     assert!(runs(&d.batch(many(300..=303, SAFE))).len() >= 3);
 }
+
+/// A slow dependency let requests queue for permits until the last moment, with the limit full of them.
+#[test]
+fn a_call_is_left_out_early_where_that_earns_and_permits_are_short() {
+    let mut s = settings();
+    s.below = Below::Shared;
+    s.call_share = 1.3;
+    s.classes[SAFE].skip_worth = 0.6;
+    let mut d = Driver::new(s);
+    d.arrive(1, SAFE);
+    d.one(Event::NeedsCall(1));
+    d.pass(400.0);
+    d.one(Event::CallEnded { id: 1, outcome: Outcome::Ok, took: 400.0 });
+    d.finish(1, 500.0);
+    let started = runs(&d.batch(many(2..=4, SAFE)));
+    let all: Vec<Action> = started.iter().flat_map(|id| d.one(Event::NeedsCall(*id))).collect();
+    assert!(all.iter().any(|a| matches!(a, Action::SkipCall(_))), "{all:?}");
+}
