--- a/src/choice.rs
+++ b/src/choice.rs
@@ -49,6 +49,8 @@
 const FAILING: f64 = 0.5;
 /// A call is left out when so many times its wait for a permit would not fit: a queue for permits grows on.
 const TURNS: f64 = 4.0;
+/// Part of a class aim that each tier leaves to the one below it.
+const BELOW: f64 = 0.33;
 /// Seconds of quota that a tenant may send at once and still be within its share.
 const QUOTA_BURST: f64 = 10.0;
 
@@ -176,7 +178,10 @@
 // ---- Event dispatch ----
 
 impl Choice {
-    pub fn new(set: Settings, seed: u64, now: f64) -> Choice {
+    pub fn new(mut set: Settings, seed: u64, now: f64) -> Choice {
+        // A tier below works inside its caller's wait, which goes on to something else long before the aim.
+        let inside = BELOW.powi(set.tier.min(9) as i32);
+        set.classes.iter_mut().for_each(|c| c.aim *= inside);
         let shortest = set.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
         let period = if set.heeded > 0.0 { set.heeded * PERIOD } else { 1000.0 * PERIOD };
         Choice {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -401,3 +401,17 @@
     let all: Vec<Action> = started.iter().flat_map(|id| d.one(Event::NeedsCall(*id))).collect();
     assert!(all.iter().any(|a| matches!(a, Action::SkipCall(_))), "{all:?}");
 }
+
+/// A hot server of the tier below held calls until its own aim, long after their callers had abandoned them.
+#[test]
+fn a_tier_below_holds_for_a_part_of_the_aim() {
+    for (tier, held) in [(0, true), (1, false)] {
+        let mut s = settings();
+        s.tier = tier;
+        let mut d = Driver::new(s);
+        d.gauges = FULL;
+        d.batch(many(1..=9, SAFE));
+        let all = d.pass(1000.0);
+        assert_eq!(answered(&all, 9), !held, "tier {tier}");
+    }
+}
