--- a/src/choice.rs
+++ b/src/choice.rs
@@ -45,8 +45,6 @@
 const ADVICE: f64 = 0.5;
 /// Unread wait beyond so many setpoints cuts the limit.
 const STARVED: f64 = 1.5;
-/// A server with a higher share of failed runs gives its requests back.
-const FAILING: f64 = 0.5;
 /// A call is left out when so many times its wait for a permit would not fit: a queue for permits grows on.
 const TURNS: f64 = 4.0;
 /// Part of a class aim that each tier leaves to the one below it.
@@ -153,9 +151,6 @@
     table: KeyTable,
     learned: Vec<Learned>,
     call_time: Mean,
-    /// Share of runs that ended in an error of late, and when the next one may be tried while that is high.
-    failing: Mean,
-    probe_at: f64,
     quotas: Vec<(f64, f64)>,
     gauges: Gauges,
     kb_held: f64,
@@ -199,8 +194,6 @@
             table: KeyTable::default(),
             learned: vec![Learned::default(); set.classes.len()],
             call_time: Mean::default(),
-            failing: Mean { value: 0.0, samples: 100 },
-            probe_at: now,
             quotas: set.tenants.iter().map(|_| (f64::MAX, now)).collect(),
             gauges: Gauges::default(),
             kb_held: 0.0,
@@ -245,11 +238,7 @@
         }
         self.trim(out);
         self.issue_calls(out);
-        if self.failing.value > FAILING {
-            self.while_failing(out);
-        } else {
-            self.start_runs(out);
-        }
+        self.start_runs(out);
         self.guard_memory(out);
     }
 
@@ -348,7 +337,6 @@
         let aim = self.set.classes[request.class].aim;
         // Exception: a run that failed counts as held for its aim, so that quick failures do not read as
         // health.
-        self.failing.add(if outcome == Outcome::Ok { 0.0 } else { 1.0 });
         self.share.finished(if outcome == Outcome::Ok { request.held_for } else { aim });
         let held = !self.hold.is_empty();
         self.limit.finished(self.now, own > aim, held, &self.gauges, self.set.cores);
@@ -512,25 +500,6 @@
         (survives * CROWD_USED - self.calls.in_hand).max(1.0)
     }
 
-    /// Exception: while most runs here fail, one safe request a period is tried and all others are given
-    /// back at once, to be served elsewhere. Guards against a server that fails whatever it runs and so
-    /// draws in more than any other; could harm where it is the requests that are at fault, or what all
-    /// servers call.
-    fn while_failing(&mut self, out: &mut Vec<Action>) {
-        let safe = |k: &&HoldKey| {
-            let class = self.requests.get(&k.2).map(|r| self.set.classes[r.class].effect);
-            class == Some(Effect::Safe)
-        };
-        let probe = self.hold.iter().find(safe).map(|k| k.2).filter(|_| self.now >= self.probe_at);
-        if let Some(id) = probe {
-            self.probe_at = self.now + self.limit.period;
-            self.start(id, out);
-        }
-        while let Some(&(_, _, id)) = self.hold.last() {
-            self.give_up(id, false, out);
-        }
-    }
-
     fn start(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.stage = Stage::Running;
@@ -668,8 +637,8 @@
         self.rng = self.rng.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         let spread = 0.75 + 0.5 * ((self.rng >> 40) as f64 / (1u64 << 24) as f64);
         let wait = (self.hold_work / self.limit.value).max(self.share.unread) * spread * ADVICE;
-        let away = self.leaving.is_some() || self.failing.value > FAILING;
-        let pause = if away { self.set.longest_pause } else { wait.min(self.set.longest_pause) };
+        let pause =
+            if self.leaving.is_some() { self.set.longest_pause } else { wait.min(self.set.longest_pause) };
         Action::Refuse { id, pause, last }
     }
 
