--- a/src/choice.rs
+++ b/src/choice.rs
@@ -689,6 +689,7 @@
         let extra = set.call_share - whole;
         Calls {
             whole,
+            credit: extra * (1.0 - LENT) * set.call_span,
             most_credit: extra * (1.0 - LENT) * set.call_span,
             gain: extra * LENT,
             permits: set.cores,
@@ -766,8 +767,9 @@
             Below::Nothing => 0.0,
             Below::Tier => self.calls.permits,
             Below::Shared => {
-                // One more is lent while it can last for a usual call and still be paid back.
-                let usual = 2.0 * self.call_time.value + self.set.call_lingers;
+                // One more is lent while it can last for a long call and still be paid back: a call that is
+                // abandoned half way lingers, and costs far more of the share than one that is finished.
+                let usual = PATIENCE * self.call_time.value + self.set.call_lingers;
                 let lent = self.calls.credit >= usual.min(self.calls.most_credit) && self.calls.gain > 0.0;
                 if lent { self.calls.whole + 1.0 } else { self.calls.whole }
             }
@@ -838,6 +840,8 @@
         }
         if matches!(outcome, Outcome::TimedOut | Outcome::Broken) {
             self.calls.lingering.push(now + self.set.call_lingers);
+            // It would have taken longer: where only short calls end well, they alone would be learnt.
+            self.call_time.add(2.0 * took);
         }
         if request.answered {
             return;
