--- a/src/choice.rs
+++ b/src/choice.rs
@@ -49,6 +49,10 @@
 const TURNS: f64 = 4.0;
 /// Part of a class aim that each tier leaves to the one below it.
 const BELOW: f64 = 0.33;
+/// Room in the table for this multiple of the shortest aim is held to cost as much as a handshake.
+const KEEP_OPEN: f64 = 4.0;
+/// On full cores connections are kept while at least this part of the requests comes over one used so recently.
+const REUSED: f64 = 0.5;
 /// Seconds of quota that a tenant may send at once and still be within its share.
 const QUOTA_BURST: f64 = 10.0;
 
@@ -153,6 +157,7 @@
     call_time: Mean,
     quotas: Vec<(f64, f64)>,
     gauges: Gauges,
+    connections: Connections,
     kb_held: f64,
     kb_running: f64,
     kb_largest: f64,
@@ -196,6 +201,12 @@
             call_time: Mean::default(),
             quotas: set.tenants.iter().map(|_| (f64::MAX, now)).collect(),
             gauges: Gauges::default(),
+            connections: Connections {
+                span: shortest * KEEP_OPEN,
+                since: now,
+                kept: true,
+                ..Default::default()
+            },
             kb_held: 0.0,
             kb_running: 0.0,
             kb_largest: 0.0,
@@ -235,6 +246,7 @@
             self.calls.wake(now);
             self.table.expire(now - self.set.tick);
             self.tell_share(out);
+            self.connections.close_or_keep(now, &self.gauges, self.set.idle, out);
         }
         self.trim(out);
         self.issue_calls(out);
@@ -256,6 +268,7 @@
         let stretch = class.aim_stretch * a.work.unwrap_or(0.0);
         self.kb_largest = self.kb_largest.max(a.kb);
         self.share.read(a.age);
+        self.connections.used(self.now, a.caller);
         let over_share = self.over_share(a.tenant);
         let mut request = Request {
             class: a.class,
@@ -841,7 +854,9 @@
         if matches!(outcome, Outcome::TimedOut | Outcome::Broken) {
             self.calls.lingering.push(now + self.set.call_lingers);
             // It would have taken longer: where only short calls end well, they alone would be learnt.
-            self.call_time.add(2.0 * took);
+            if self.set.below == Below::Shared {
+                self.call_time.add(2.0 * took);
+            }
         }
         if request.answered {
             return;
@@ -951,6 +966,39 @@
     }
 }
 
+/// Closes idle connections at once where callers seldom come back while a kept one is worth its room: guards
+/// against many callers filling the table and finding no room; also frees what a full table costs. Could harm
+/// where a handshake costs far more than a request.
+#[derive(Default)]
+struct Connections {
+    /// When each caller last came, for those that came within the span.
+    seen: BTreeMap<u64, f64>,
+    span: f64,
+    since: f64,
+    reused: Mean,
+    kept: bool,
+}
+
+impl Connections {
+    fn used(&mut self, now: f64, caller: u64) {
+        let again = self.seen.insert(caller, now).is_some_and(|last| now - last < self.span);
+        self.reused.add(f64::from(u8::from(again)));
+    }
+
+    fn close_or_keep(&mut self, now: f64, gauges: &Gauges, idle: f64, out: &mut Vec<Action>) {
+        if now - self.since < self.span {
+            return;
+        }
+        self.since = now;
+        self.seen.retain(|_, last| now - *last < self.span);
+        let keep = self.reused.value >= REUSED * gauges.core_use.unwrap_or(1.0);
+        if keep != self.kept {
+            self.kept = keep;
+            out.push(Action::CloseIdleAfter(if keep { idle } else { BEAT }));
+        }
+    }
+}
+
 // ---- Leaving ----
 
 impl Choice {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -439,3 +439,28 @@
         assert_eq!(answered(&all, 9), !held, "tier {tier}");
     }
 }
+
+/// Hundreds of gateways filled the table with connections that none of them used again.
+#[test]
+fn idle_connections_are_closed_where_callers_seldom_come_back() {
+    let closes = |callers: u64, busy: f64| {
+        let mut d = Driver::new(settings());
+        d.gauges.core_use = Some(busy);
+        let mut rng = 1u64;
+        for id in 1..=120 {
+            let mut a = arrival(id, SAFE);
+            rng = rng.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            a.caller = (rng >> 33) % callers;
+            d.one(Event::Arrived(a));
+            d.finish(id, 100.0);
+            d.pass(250.0);
+        }
+        d.log.iter().any(|(_, a)| matches!(a, Action::CloseIdleAfter(ttl) if *ttl < 200.0))
+    };
+    assert!(closes(400, 0.9));
+    assert!(closes(400, 0.3));
+    assert!(!closes(4, 0.9));
+    // Who comes back now and then is kept while cores have time to spare for the room it takes.
+    assert!(!closes(60, 0.3));
+    assert!(closes(60, 0.9));
+}
