--- a/src/choice.rs
+++ b/src/choice.rs
@@ -33,8 +33,6 @@
 const CROWD_USED: f64 = 0.7;
 /// Weight of the newest sample in running means.
 const LEARN: f64 = 0.15;
-/// A request is hopeless only when even this part of its expected service no longer fits.
-const OPTIMISM: f64 = 1.0;
 /// A repeatable call is abandoned after this multiple of the usual call, or half the time left if longer.
 const PATIENCE: f64 = 4.0;
 /// Calls that may be repeated are issued at most so often.
@@ -567,7 +565,7 @@
         request.key = (-level, us(request.aim_at), id);
         self.hold.insert(request.key);
         self.hold_work += request.run_time;
-        let look = request.aim_at - OPTIMISM * (request.run_time + self.learned[request.class].off.value);
+        let look = request.aim_at - request.run_time - self.learned[request.class].off.value;
         self.looks.insert((us(look.min(request.due - self.margin())), id));
     }
 
@@ -597,7 +595,7 @@
         if wait == 0.0 && self.hold.len() <= 1 && self.gauges.on_cores.is_some_and(|n| n < self.set.cores) {
             return self.now >= r.aim_at;
         }
-        let need = OPTIMISM * (r.run_time + self.learned[r.class].off.value);
+        let need = r.run_time + self.learned[r.class].off.value;
         self.now + wait + need >= r.aim_at
     }
 
@@ -814,8 +812,7 @@
         while let Some(&key) = self.calls.queue.last() {
             let Some(request) = self.requests.get(&key.2) else { break };
             let turns = TURNS * (self.calls.queue.len() as f64 / permits.max(1.0)).ceil() + 1.0;
-            let in_time =
-                self.now + turns * self.call_time.value + OPTIMISM * request.run_time < request.aim_at;
+            let in_time = self.now + turns * self.call_time.value + request.run_time < request.aim_at;
             if in_time || !self.skip(key.2, out) {
                 break;
             }
