--- a/src/choice.rs
+++ b/src/choice.rs
@@ -49,7 +49,7 @@
 const BELOW: f64 = 0.33;
 /// Room in the table for this multiple of the shortest aim is held to cost as much as a handshake.
 const KEEP_OPEN: f64 = 4.0;
-/// On full cores connections are kept while at least this part of the requests comes over one used so recently.
+/// On full cores connections are kept while this part of the requests comes over one used so recently.
 const REUSED: f64 = 0.5;
 /// Seconds of quota that a tenant may send at once and still be within its share.
 const QUOTA_BURST: f64 = 10.0;
