--- a/src/choice.rs
+++ b/src/choice.rs
@@ -77,6 +77,7 @@
     /// Answered by then it earns in full.
     aim_at: f64,
     over_share: bool,
+    retry: bool,
     /// Expected time on the cores and at the disk, and for all of it with its calls.
     run_time: f64,
     key: HoldKey,
@@ -153,6 +154,7 @@
     table: KeyTable,
     learned: Vec<Learned>,
     call_time: Mean,
+    waited: Mean,
     quotas: Vec<(f64, f64)>,
     gauges: Gauges,
     connections: Connections,
@@ -197,6 +199,7 @@
             table: KeyTable::default(),
             learned: vec![Learned::default(); set.classes.len()],
             call_time: Mean::default(),
+            waited: Mean::default(),
             quotas: set.tenants.iter().map(|_| (f64::MAX, now)).collect(),
             gauges: Gauges::default(),
             connections: Connections {
@@ -264,6 +267,7 @@
         }
         due = due.max(self.now);
         let stretch = class.aim_stretch * a.work.unwrap_or(0.0);
+        let aim = (class.aim + stretch) * self.patience();
         self.kb_largest = self.kb_largest.max(a.kb);
         self.share.read(a.age);
         self.connections.used(self.now, a.caller);
@@ -273,8 +277,9 @@
             kb: a.kb,
             reached,
             due,
-            aim_at: (reached + class.aim + stretch).min(due),
+            aim_at: (reached + aim).min(due),
             over_share,
+            retry: a.retry,
             run_time: self.learned[a.class].run_time(a.work),
             key: (0, 0, a.id),
             work: a.work.unwrap_or(0.0),
@@ -315,8 +320,13 @@
     }
 
     fn caller_gone(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let now = self.now;
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.answered = true;
+        let waited = (now - request.reached) / self.set.classes[request.class].aim.max(self.set.tick);
+        if !request.retry && waited >= 0.5 {
+            self.waited.add(waited.min(1.0));
+        }
         match request.stage {
             Stage::Held => {
                 self.table.remove(id, out);
@@ -331,6 +341,12 @@
         }
     }
 
+    /// The part of an aim after which callers have been seen to leave: nobody hears an answer later than that.
+    /// Could harm where few callers are hasty and most are not.
+    fn patience(&self) -> f64 {
+        if self.waited.samples < 6 { 1.0 } else { self.waited.value }
+    }
+
     fn run_ended(&mut self, id: RequestId, outcome: Outcome, took: f64) {
         let Some(request) = self.forget(id) else { return };
         if request.stage == Stage::Calling {
@@ -507,8 +523,11 @@
 impl Choice {
     /// Rule 4. The crowd that this server survives just now, less the calls that may come back unasked.
     fn crowd_room(&self) -> f64 {
-        let survives = self.set.cores * (1.0 + (self.set.crowd - 1.0) * self.speed_share());
-        (survives * CROWD_USED - self.calls.in_hand).max(1.0)
+        (self.crowd() - self.calls.in_hand).max(1.0)
+    }
+
+    fn crowd(&self) -> f64 {
+        self.set.cores * (1.0 + (self.set.crowd - 1.0) * self.speed_share()) * CROWD_USED
     }
 
     fn start(&mut self, id: RequestId, out: &mut Vec<Action>) {
@@ -689,9 +708,6 @@
     most_credit: f64,
     gain: f64,
     at: f64,
-    /// Calls that may be in hand at once where below is a tier.
-    permits: f64,
-    cut_at: f64,
 }
 
 impl Calls {
@@ -703,9 +719,7 @@
             credit: extra * (1.0 - LENT) * set.call_span,
             most_credit: extra * (1.0 - LENT) * set.call_span,
             gain: extra * LENT,
-            permits: set.cores,
             at: now,
-            cut_at: now,
             ..Calls::default()
         }
     }
@@ -755,28 +769,13 @@
         self.calls.queue.insert(request.key);
     }
 
-    /// Exception to the design's cap of one call a core on a tier below: a call lasts longer than the work
-    /// it stands for, so that cap can idle both tiers. It moves like the running limit: up by one for a call
-    /// that ends well while requests wait for theirs and cores idle here; cut, at most once a period, when a
-    /// call is turned away, breaks or runs out of time; the cores are its floor. Could harm where the tier
-    /// below hides its overload in long times without failing.
-    fn move_permits(&mut self, outcome: Outcome) {
-        let cores = self.set.cores;
-        if matches!(outcome, Outcome::Rejected | Outcome::TimedOut | Outcome::Broken) {
-            if self.now - self.calls.cut_at >= self.limit.period {
-                self.calls.cut_at = self.now;
-                self.calls.permits = (self.calls.permits * CUT).max(cores);
-            }
-        } else if !self.calls.queue.is_empty() && self.gauges.on_cores.is_some_and(|n| n < cores) {
-            self.calls.permits = (self.calls.permits + 1.0).min(cores * self.set.crowd * CROWD_USED);
-        }
-    }
-
     /// How many calls may be in hand at once.
     fn permits(&self) -> f64 {
         match self.set.below {
             Below::Nothing => 0.0,
-            Below::Tier => self.calls.permits,
+            // Exception to the design's cap of one call a core on a tier: a call outlasts the work it stands
+            // for, so that cap idles both tiers. The crowd that may come back at once bounds them instead.
+            Below::Tier => self.crowd(),
             Below::Shared => {
                 // One more is lent while it can last for a long call and still be paid back: a call that is
                 // abandoned half way lingers, and costs far more of the share than one that is finished.
@@ -839,8 +838,6 @@
         }
         request.stage = Stage::NeedsCall;
         self.calls.in_hand -= 1.0;
-        self.move_permits(outcome);
-        let Some(request) = self.requests.get_mut(&id) else { return };
         if outcome == Outcome::Ok {
             self.call_time.add(took);
             request.stage = Stage::Running;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -464,3 +464,27 @@
     assert!(!closes(60, 0.3));
     assert!(closes(60, 0.9));
 }
+
+/// Gateways that left long before the aim got answers that nobody heard; two in five served retries were late.
+#[test]
+fn no_run_begins_that_ends_after_callers_have_been_seen_to_leave() {
+    let mut d = Driver::new(settings());
+    let mut id = 0;
+    let mut late_start = |d: &mut Driver, leave: bool| {
+        id += 1;
+        d.gauges = FULL;
+        let mut a = arrival(id, SAFE);
+        a.age = 1500.0;
+        let started = runs(&d.one(Event::Arrived(a))).contains(&id);
+        if leave {
+            d.one(Event::CallerGone(id));
+        }
+        d.finish(id, 200.0);
+        started
+    };
+    assert!(late_start(&mut d, false));
+    for _ in 0..10 {
+        late_start(&mut d, true);
+    }
+    assert!(!late_start(&mut d, false), "callers leave 1.5 s after they come, of an aim of 2 s");
+}
