--- a/src/choice.rs
+++ b/src/choice.rs
@@ -341,7 +341,7 @@
         }
     }
 
-    /// The part of an aim after which callers have been seen to leave: nobody hears an answer later than that.
+    /// The part of an aim after which callers have been seen to leave: nobody hears an answer after that.
     /// Could harm where few callers are hasty and most are not.
     fn patience(&self) -> f64 {
         if self.waited.samples < 6 { 1.0 } else { self.waited.value }
