--- a/src/choice.rs
+++ b/src/choice.rs
@@ -51,6 +51,10 @@
 const KEEP_OPEN: f64 = 4.0;
 /// On full cores connections are kept while this part of the requests comes over one used so recently.
 const REUSED: f64 = 0.5;
+/// Calls that take more than this multiple of their best usual time crowd what lies below.
+const SLOWER: f64 = 3.0;
+/// Then as little as this part of the told share is used; each call that is not slow gives back half as much.
+const LEAST_CALLS: f64 = 0.4;
 /// Seconds of quota that a tenant may send at once and still be within its share.
 const QUOTA_BURST: f64 = 10.0;
 
@@ -196,7 +200,7 @@
             running: 0.0,
             share: SendShare::new(shortest * SETPOINT, period, now),
             limit: RunLimit { value: set.cores, cut_at: now, period },
-            calls: Calls::new(&set, now),
+            calls: Calls::new(&set, now, period),
             table: KeyTable::default(),
             learned: vec![Learned::default(); set.classes.len()],
             call_time: Mean::default(),
@@ -246,15 +250,13 @@
             self.next_beat = now + BEAT;
             out.push(Action::WakeAt(self.next_beat));
             self.look_at_due(out);
-            self.calls.wake(now);
             self.table.expire(now - self.set.tick);
             self.tell_share(out);
-            self.connections.close_or_keep(now, &self.gauges, self.set.idle, out);
         }
         self.trim(out);
         self.issue_calls(out);
         self.start_runs(out);
-        self.guard_memory(out);
+        self.make_room(0.0, None, out);
     }
 
     fn arrived(&mut self, a: Arrival, out: &mut Vec<Action>) {
@@ -273,7 +275,7 @@
         let aim = (class.aim + stretch) * self.patience() - spent;
         self.kb_largest = self.kb_largest.max(a.kb);
         self.share.read(a.age);
-        self.connections.used(self.now, a.caller);
+        self.connections.used(self.now, a.caller, self.gauges.core_use.unwrap_or(1.0), self.set.idle, out);
         let over_share = self.over_share(a.tenant);
         let mut request = Request {
             class: a.class,
@@ -451,12 +453,8 @@
         if self.now - self.share.sampled_at < self.share.period || self.leaving.is_some() {
             return;
         }
-        let oldest = if self.share.finished > 0.0 {
-            0.0
-        } else {
-            let held = self.hold.iter().filter_map(|k| self.requests.get(&k.2));
-            held.fold(0.0, |oldest: f64, r| oldest.max(self.now - r.reached))
-        };
+        let held = self.hold.iter().filter_map(|k| self.requests.get(&k.2));
+        let oldest = held.fold(0.0, |oldest: f64, r| oldest.max(self.now - r.reached));
         self.share.sample(self.now, oldest);
         if self.starved() {
             self.limit.cut(self.now, self.set.cores / 3.0);
@@ -499,6 +497,7 @@
 
 // ---- The running limit ----
 
+#[derive(Default)]
 struct RunLimit {
     value: f64,
     cut_at: f64,
@@ -549,7 +548,7 @@
         self.limit.value = self.limit.value.min(self.set.cores * self.set.crowd * CROWD_USED);
         let limit = if self.starved() { self.limit.value } else { self.limit.value.max(self.set.cores) };
         loop {
-            let counted = self.running + self.calls.waiting();
+            let counted = self.running + (self.calls.queue.len() + self.calls.later.len()) as f64;
             if counted >= limit || self.running >= self.crowd_room() {
                 return;
             }
@@ -558,13 +557,9 @@
                 self.give_up(id, true, out);
                 continue;
             }
-            // Held requests of the least worth make room; else a full hold would keep the cores idle.
             let need = self.requests.get(&id).map_or(0.0, |r| r.kb) * (self.set.run_memory - 1.0);
-            while need > self.memory_room() - self.memory_used() {
-                match self.hold.last() {
-                    Some(&(_, _, last)) if last != id => self.give_up(last, false, out),
-                    _ => return,
-                }
+            if !self.make_room(need, Some(id), out) {
+                return;
             }
             self.start(id, out);
         }
@@ -596,15 +591,10 @@
         self.hold_work -= run_time;
     }
 
-    /// The share says that more comes than can be served.
-    fn overloaded(&self) -> bool {
-        self.share.value < OVERLOADED
-    }
-
     /// The most worth first; within that the nearest aim, or under overload the farthest.
     fn next_to_run(&self) -> Option<RequestId> {
         let &(level, _, first) = self.hold.first()?;
-        if !self.overloaded() {
+        if self.share.value >= OVERLOADED {
             return Some(first);
         }
         self.hold.range(..(level + 1, i64::MIN, 0)).next_back().map(|k| k.2)
@@ -636,9 +626,8 @@
     fn give_up(&mut self, id: RequestId, last: bool, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         let safe = self.set.classes[request.class].effect == Effect::Safe;
-        let stage = request.stage;
         request.answered = true;
-        match stage {
+        match request.stage {
             Stage::Held => {
                 if !request.retry {
                     self.refused_age.add(self.now - request.reached);
@@ -652,6 +641,7 @@
                 self.forget(id);
             }
             Stage::Running => {
+                // A failure would be tried again elsewhere, too late.
                 out.push(if safe { self.refusal(id, true) } else { Action::Fail(id) });
                 self.stop(id, out);
             }
@@ -673,9 +663,8 @@
         self.rng = self.rng.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         let spread = 0.75 + 0.5 * ((self.rng >> 40) as f64 / (1u64 << 24) as f64);
         let wait = (self.hold_work / self.limit.value).max(self.share.unread) * spread * ADVICE;
-        let pause =
-            if self.leaving.is_some() { self.set.longest_pause } else { wait.min(self.set.longest_pause) };
-        Action::Refuse { id, pause, last }
+        let pause = if self.leaving.is_some() { f64::INFINITY } else { wait };
+        Action::Refuse { id, pause: pause.min(self.set.longest_pause), last }
     }
 
     /// Whether a tenant sends beyond this server's even part of its quota.
@@ -708,6 +697,9 @@
     in_hand: f64,
     /// When abandoned calls leave the dependency's hands at the latest.
     lingering: Vec<f64>,
+    /// The part of the share that is used, and the best usual call time seen, ms.
+    part: RunLimit,
+    best: f64,
     /// Permits always there, and the call time, ms, that one more may use now, at most, and gains a ms.
     whole: f64,
     credit: f64,
@@ -717,11 +709,13 @@
 }
 
 impl Calls {
-    fn new(set: &Settings, now: f64) -> Calls {
+    fn new(set: &Settings, now: f64, period: f64) -> Calls {
         let whole = (set.call_share * CALLS_USED).floor();
         let extra = set.call_share - whole;
         Calls {
             whole,
+            part: RunLimit { value: 1.0, cut_at: now, period },
+            best: f64::INFINITY,
             credit: extra * (1.0 - LENT) * set.call_span,
             most_credit: extra * (1.0 - LENT) * set.call_span,
             gain: extra * LENT,
@@ -730,10 +724,6 @@
         }
     }
 
-    fn waiting(&self) -> f64 {
-        (self.queue.len() + self.later.len()) as f64
-    }
-
     fn waiting_off(&mut self, key: HoldKey) {
         self.queue.remove(&key);
         self.later.remove(&key);
@@ -746,18 +736,13 @@
     /// What the told share leaves beyond whole permits is lent for that part of the time, never for longer.
     fn advance(&mut self, now: f64) {
         let beyond = (self.all_in_hand() - self.whole).max(0.0);
-        self.credit = (self.credit + (self.gain - beyond) * (now - self.at)).min(self.most_credit);
+        self.credit =
+            (self.credit + (self.gain * self.part.value - beyond) * (now - self.at)).min(self.most_credit);
         self.at = now;
         self.lingering.retain(|until| *until > now);
-    }
-
-    /// Puts back in the queue what waited to try its call again.
-    fn wake(&mut self, now: f64) {
-        let ready: Vec<HoldKey> = self.later.iter().filter(|(_, at)| **at <= now).map(|(k, _)| *k).collect();
-        for key in ready {
-            self.later.remove(&key);
-            self.queue.insert(key);
-        }
+        // What waited to try its call again is back in the queue.
+        let queue = &mut self.queue;
+        self.later.retain(|key, at| *at > now || !queue.insert(*key));
     }
 }
 
@@ -787,15 +772,13 @@
                 // abandoned half way lingers, and costs far more of the share than one that is finished.
                 let usual = PATIENCE * self.call_time.value + self.set.call_lingers;
                 let lent = self.calls.credit >= usual.min(self.calls.most_credit) && self.calls.gain > 0.0;
-                if lent { self.calls.whole + 1.0 } else { self.calls.whole }
+                let whole = (self.calls.whole * self.calls.part.value).ceil();
+                if lent && whole >= self.calls.whole { whole + 1.0 } else { whole }
             }
         }
     }
 
     fn issue_calls(&mut self, out: &mut Vec<Action>) {
-        if self.calls.queue.is_empty() {
-            return;
-        }
         let permits = self.permits();
         while let Some(&key) = self.calls.queue.first() {
             if self.calls.all_in_hand() >= permits {
@@ -844,8 +827,18 @@
         }
         request.stage = Stage::NeedsCall;
         self.calls.in_hand -= 1.0;
+        // Exception: what lies below slows down long before the told share is in use. While calls take far
+        // longer than they did, fewer are made. Could harm where call times vary that much by themselves.
+        if self.call_time.value > SLOWER * self.calls.best {
+            self.calls.part.cut(now, LEAST_CALLS);
+        } else {
+            self.calls.part.value = (self.calls.part.value + LEAST_CALLS / 2.0).min(1.0);
+        }
         if outcome == Outcome::Ok {
             self.call_time.add(took);
+            if self.call_time.samples > 20 {
+                self.calls.best = self.calls.best.min(self.call_time.value);
+            }
             request.stage = Stage::Running;
             request.off_time += now - request.off_since;
             self.running += 1.0;
@@ -924,12 +917,16 @@
         self.set.memory_kb - 2.0 * self.set.cores * self.kb_largest
     }
 
-    /// Rule 4. What is held gives way before memory runs out.
-    fn guard_memory(&mut self, out: &mut Vec<Action>) {
-        while self.memory_used() > self.memory_room() {
-            let Some(&(_, _, id)) = self.hold.last() else { return };
-            self.give_up(id, false, out);
+    /// Rule 4. Held requests of the least worth give way before memory runs out, and to runs that need room;
+    /// else a full hold would keep the cores idle.
+    fn make_room(&mut self, need: f64, keep: Option<RequestId>, out: &mut Vec<Action>) -> bool {
+        while need > self.memory_room() - self.memory_used() {
+            match self.hold.last() {
+                Some(&(_, _, last)) if Some(last) != keep => self.give_up(last, false, out),
+                _ => return false,
+            }
         }
+        true
     }
 }
 
@@ -980,18 +977,15 @@
 }
 
 impl Connections {
-    fn used(&mut self, now: f64, caller: u64) {
+    fn used(&mut self, now: f64, caller: u64, busy: f64, idle: f64, out: &mut Vec<Action>) {
         let again = self.seen.insert(caller, now).is_some_and(|last| now - last < self.span);
         self.reused.add(f64::from(u8::from(again)));
-    }
-
-    fn close_or_keep(&mut self, now: f64, gauges: &Gauges, idle: f64, out: &mut Vec<Action>) {
         if now - self.since < self.span {
             return;
         }
         self.since = now;
         self.seen.retain(|_, last| now - *last < self.span);
-        let keep = self.reused.value >= REUSED * gauges.core_use.unwrap_or(1.0);
+        let keep = self.reused.value >= REUSED * busy;
         if keep != self.kept {
             self.kept = keep;
             out.push(Action::CloseIdleAfter(if keep { idle } else { BEAT }));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -507,3 +507,26 @@
     assert!(kept(&mut d, 50, false));
     assert!(!kept(&mut d, 51, true));
 }
+
+/// A slow database was crowded up to the told share, where it is far past its best.
+#[test]
+fn fewer_calls_are_in_hand_while_what_lies_below_is_slow() {
+    let in_hand = |slow: f64| {
+        let mut s = settings();
+        (s.below, s.call_share, s.cores) = (Below::Shared, 12.0, 16.0);
+        let mut d = Driver::new(s);
+        for id in 1..=100 {
+            d.arrive(id, UNSAFE);
+            d.one(Event::NeedsCall(id));
+            let took = if id <= 40 { 20.0 } else { slow };
+            d.pass(took);
+            d.one(Event::CallEnded { id, outcome: Outcome::Ok, took });
+            d.finish(id, took + 50.0);
+        }
+        d.batch((201..=216).map(|id| Event::Arrived(arrival(id, UNSAFE))).collect());
+        let calls = d.batch((201..=216).map(Event::NeedsCall).collect());
+        calls.iter().filter(|a| matches!(a, Action::Call { .. })).count()
+    };
+    assert!(in_hand(20.0) >= 10, "{}", in_hand(20.0));
+    assert!((3..=6).contains(&in_hand(200.0)), "{}", in_hand(200.0));
+}
