--- a/crates/loomflow-protocol/src/ledger.rs
+++ b/crates/loomflow-protocol/src/ledger.rs
@@ -4,8 +4,6 @@
 
 const MOST_LINE: usize = 256;
 const MOST_BODY: usize = 64 * 1024;
-/// The ledger closes a connection that is idle for so long, ms.
-pub const CLOSES_IDLE: f64 = 10_000.0;
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Answer {
--- a/crates/loomflow-server/src/accept.rs
+++ b/crates/loomflow-server/src/accept.rs
@@ -16,14 +16,10 @@
 use crate::log;
 use crate::owner::{Input, Mailbox};
 
-/// Pause after the system had no descriptor or memory for a connection.
-const EXHAUSTED: Duration = Duration::from_millis(20);
+/// Pause after there was no descriptor or memory for a connection.
+const EXHAUSTED: Duration = Duration::from_millis(5);
 
 const FREED_WITHIN: Duration = Duration::from_secs(1);
-/// Descriptors kept for what is not a gateway: files, the links of the server itself, and new ones beside old.
-const RESERVED: usize = 32;
-/// Gateways open this part of the descriptors at the most.
-const GATEWAYS_OPEN: usize = 2;
 /// Connections that the system holds until they are accepted.
 const BACKLOG: i32 = 1024;
 
@@ -36,13 +32,12 @@
 }
 
 impl Accepting {
-    /// `sockets`: what the process may hold in all.
-    pub fn start(listen: SocketAddr, sockets: usize, mailbox: Arc<Mailbox>) -> Result<Accepting, String> {
+    /// `most`: connections held at the same time.
+    pub fn start(listen: SocketAddr, most: usize, mailbox: Arc<Mailbox>) -> Result<Accepting, String> {
         let bound = bind_soon(listen).map(adopt::<TcpListener>);
         let listener = bound.map_err(|e| format!("listen: cannot bind {listen}: {e}"))?;
         let accepting = Accepting { stop: Arc::new(AtomicBool::new(false)), waker: listener.waker() };
         let stop = accepting.stop.clone();
-        let most = sockets.saturating_sub(RESERVED).max(sockets / GATEWAYS_OPEN).max(1);
         may::go!(move || accept(&listener, &mailbox, &stop, most));
         Ok(accepting)
     }
@@ -122,8 +117,11 @@
         let outbox = Arc::new(Outbox::new(Some(MOST_OPEN)));
         mailbox.put(Input::Opened(number, outbox.clone()));
         let requests = Requests::default();
-        let ending = link::drive(stream, &outbox, requests, |r| mailbox.put(Input::Request(number, r)));
+        let deliver = |request| mailbox.put(Input::Request(number, request));
+        let stopped = |ending| mailbox.put(Input::Stopped(number, ending));
+        let (stream, ending) = link::drive(stream, &outbox, requests, deliver, stopped);
         mailbox.put(Input::Ended(number, ending));
+        link::linger(stream, ending);
         drop(connected);
     });
 }
--- a/crates/loomflow-server/src/control.rs
+++ b/crates/loomflow-server/src/control.rs
@@ -4,11 +4,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::RecvTimeoutError;
 use std::time::{Duration, Instant};
 
 use loomflow_protocol::control::{Status, Statuses, report};
 use loomflow_protocol::{Decoder, Malformed};
 use may::net::TcpStream;
+use may::sync::mpsc::{Sender, channel};
 
 use crate::link;
 use crate::log;
@@ -20,25 +22,37 @@
 /// How long one read or write may take.
 const PATIENCE: Duration = Duration::from_millis(500);
 
-/// Reports for as long as the process lives.
-pub fn start(to: SocketAddr, name: String, ready: Arc<AtomicBool>) {
+/// Where reports go, if anywhere; another address may be sent at any time.
+pub type Moves = Sender<Option<SocketAddr>>;
+
+/// Reports for as long as the process lives, at once wherever it is told to.
+pub fn start(to: Option<SocketAddr>, name: String, ready: Arc<AtomicBool>) -> Moves {
+    let (moves, moved) = channel();
     may::go!(move || {
+        let mut to = to;
         let mut connection = None;
         let mut failed = false;
         loop {
             let next = Instant::now();
-            let done = tell(&mut connection, to, &name, ready.load(Ordering::Acquire));
-            if let Err(why) = &done {
-                connection = None;
-                if !failed {
-                    log!("control plane: {why}");
+            if let Some(to) = to {
+                let done = tell(&mut connection, to, &name, ready.load(Ordering::Acquire));
+                if let Err(why) = &done {
+                    connection = None;
+                    if !failed {
+                        log!("control plane: {why}");
+                    }
                 }
+                failed = done.is_err();
             }
-            failed = done.is_err();
             let pause = if failed { AGAIN } else { PERIOD };
-            may::coroutine::sleep(pause.saturating_sub(next.elapsed()).max(AGAIN));
+            match moved.recv_timeout(pause.saturating_sub(next.elapsed()).max(AGAIN)) {
+                Ok(address) => (to, connection, failed) = (address, None, false),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
         }
     });
+    moves
 }
 
 type Connection = (TcpStream, Statuses);
@@ -47,7 +61,7 @@
     let (stream, statuses) = match connection {
         Some(open) => open,
         None => {
-            let stream = link::open(to, Duration::ZERO).map_err(|ending| format!("{ending:?}"))?;
+            let stream = link::connect(to).map_err(|ending| format!("{ending:?}"))?;
             let _ = stream.set_read_timeout(Some(PATIENCE));
             let _ = stream.set_write_timeout(Some(PATIENCE));
             connection.insert((stream, Statuses::default()))
--- a/crates/loomflow-server/src/ending.rs
+++ b/crates/loomflow-server/src/ending.rs
@@ -31,6 +31,12 @@
         }
     }
 
+    /// Whether what is open on the connection of a gateway is still answered: the peer has said what is no message,
+    /// and hears so. In the other cases nobody is there to hear it.
+    pub fn is_answered(self) -> bool {
+        matches!(self, Ending::Malformed(_))
+    }
+
     /// The one place where an ending becomes an outcome. `sent`: the whole message had been handed to the
     /// system, so that it may have arrived.
     pub fn outcome(self, sent: bool) -> Outcome {
--- a/crates/loomflow-server/src/link.rs
+++ b/crates/loomflow-server/src/link.rs
@@ -4,7 +4,7 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr};
 use std::sync::{Mutex, MutexGuard, OnceLock};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use loomflow_protocol::Decoder;
 use may::io::{WaitIo, WaitIoWaker};
@@ -13,11 +13,15 @@
 use crate::ending::Ending;
 
 /// Messages taken from one connection before the others have their turn.
-const TURN: usize = 64;
+const TURN: usize = 16;
+/// Pause before the next turn, for each message on the connection that could not be taken, up to the longest:
+/// who floods is held up by its own flood.
+const PACE: Duration = Duration::from_millis(5);
+const LONGEST_PACE: u32 = 20;
 /// How long opening a connection may take.
 const OPENING: Duration = Duration::from_millis(500);
 /// How long a closed connection waits for its peer to close too, so that the last answers are read.
-const LINGER: Duration = Duration::from_millis(500);
+const LINGER: Duration = Duration::from_millis(300);
 const LINGER_READS: usize = 32;
 /// Unwritten bytes beyond which nothing more is read.
 const MOST_UNWRITTEN: usize = 192 * 1024;
@@ -42,6 +46,10 @@
     ending: Option<Ending>,
     /// The driver has been woken for what was added.
     woken: bool,
+    /// A message has been waited for the rest of since then.
+    half_since: Option<Instant>,
+    /// Messages that could not be taken.
+    strikes: u32,
 }
 
 impl Outbox {
@@ -56,6 +64,8 @@
             most_open,
             ending: None,
             woken: false,
+            half_since: None,
+            strikes: 0,
         };
         Outbox { state: Mutex::new(state), waker: OnceLock::new() }
     }
@@ -91,13 +101,15 @@
         self.wake();
     }
 
-    /// Ends the connection at once, whatever is not written yet.
-    pub fn abort(&self) {
+    /// Ends the connection at once, whatever is not written yet. The answer is how much was.
+    pub fn abort(&self) -> u64 {
         let mut state = self.state();
         (state.bytes, state.at, state.open) = (Vec::new(), 0, 0);
         state.ending.get_or_insert(Ending::GivenUp);
+        let written = state.written;
         drop(state);
         self.wake();
+        written
     }
 
     /// How many of the added bytes the system has taken.
@@ -120,6 +132,25 @@
         self.state().ending.is_some()
     }
 
+    /// How long the rest of a message has been waited for.
+    pub fn half_for(&self) -> Duration {
+        self.state().half_since.map_or(Duration::ZERO, |since| since.elapsed())
+    }
+
+    fn waits(&self, half: bool) {
+        let mut state = self.state();
+        state.half_since = if half { state.half_since.or_else(|| Some(Instant::now())) } else { None };
+    }
+
+    /// A message could not be taken.
+    pub fn strike(&self) {
+        self.state().strikes += 1;
+    }
+
+    fn pace(&self) -> Duration {
+        PACE * self.state().strikes.min(LONGEST_PACE)
+    }
+
     fn wake(&self) {
         if let Some(waker) = self.waker.get() {
             waker.wakeup();
@@ -129,6 +160,7 @@
     /// A message was read that may need an answer.
     pub fn taken(&self) {
         let mut state = self.state();
+        state.half_since = None;
         state.open += usize::from(state.most_open.is_some());
     }
 
@@ -167,95 +199,127 @@
     }
 }
 
-/// Opens a connection, after a pause where one is due.
-pub fn open(to: SocketAddr, pause: Duration) -> Result<TcpStream, Ending> {
+/// Opens a connection, after a pause where one is due, unless it has been ended by then.
+pub fn open(to: SocketAddr, pause: Duration, outbox: &Outbox) -> Result<TcpStream, Ending> {
     if !pause.is_zero() {
         may::coroutine::sleep(pause);
     }
+    if let Some(ending) = outbox.over() {
+        return Err(ending);
+    }
+    connect(to)
+}
+
+pub fn connect(to: SocketAddr) -> Result<TcpStream, Ending> {
     let stream = TcpStream::connect_timeout(&to, OPENING).map_err(|e| Ending::of_connect(&e))?;
     // Answers are small and each is waited for.
     let _ = stream.set_nodelay(true);
     Ok(stream)
 }
 
-/// Reads and writes until the connection is over, and tells how it ended.
+/// Reads and writes until the connection is over, and tells how it ended. `stopped` hears why nothing more is read
+/// before that, where it is the peer's doing: what is open is then still to be settled.
 pub fn drive<D: Decoder>(
     stream: TcpStream,
     outbox: &Outbox,
     mut decoder: D,
     mut deliver: impl FnMut(D::Message),
-) -> Ending {
+    stopped: impl FnOnce(Ending),
+) -> (TcpStream, Ending) {
     let _ = outbox.waker.set(stream.waker());
+    let mut stopped = Some(stopped);
     loop {
         if let Err(ending) = outbox.flush(stream.inner()) {
-            return ending;
+            return (stream, ending);
         }
-        match read(stream.inner(), outbox, &mut decoder, &mut deliver) {
-            Ok(true) => {
-                may::coroutine::yield_now();
+        let turn = read(stream.inner(), outbox, &mut decoder, &mut deliver);
+        match turn {
+            Ok(Turn::Full) => {
+                match outbox.pace() {
+                    Duration::ZERO => may::coroutine::yield_now(),
+                    pace => may::coroutine::sleep(pace),
+                }
                 continue;
             }
-            Ok(false) => {}
-            Err(ending) => return ending,
+            Ok(Turn::Empty) => {}
+            Ok(Turn::Stopped(ending)) => {
+                if let Some(stopped) = stopped.take() {
+                    stopped(ending);
+                }
+            }
+            Err(ending) => return (stream, ending),
         }
         if let Some(ending) = outbox.over() {
-            linger(stream, ending);
-            return ending;
+            return (stream, ending);
         }
         stream.wait_io();
     }
 }
 
-/// Takes in what has arrived; true when there may be more.
+enum Turn {
+    /// There may be more to read, once others have had their turn, or a pause is due.
+    Full,
+    Empty,
+    /// The peer has just made an end to reading.
+    Stopped(Ending),
+}
+
+/// Takes in what has arrived.
 fn read<D: Decoder>(
     mut stream: &std::net::TcpStream,
     outbox: &Outbox,
     decoder: &mut D,
     deliver: &mut impl FnMut(D::Message),
-) -> Result<bool, Ending> {
+) -> Result<Turn, Ending> {
     let mut taken = 0;
     while outbox.reads_on() {
         if taken >= TURN {
-            return Ok(true);
+            return Ok(Turn::Full);
         }
-        match decoder.next() {
+        let ending = match decoder.next() {
             Ok(Some(message)) => {
                 outbox.taken();
                 deliver(message);
                 taken += 1;
                 continue;
             }
-            Ok(None) => {}
-            Err(wrong) => {
-                outbox.state().ending = Some(Ending::Malformed(wrong.0));
-                break;
-            }
-        }
-        let space = decoder.buffer().space();
-        if space.is_empty() {
-            outbox.state().ending = Some(Ending::Malformed("a message is too long"));
-            break;
-        }
-        match stream.read(space) {
-            Ok(0) => outbox.state().ending = Some(Ending::PeerClosed),
-            Ok(count) => decoder.buffer().filled(count),
-            Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-            Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            Err(_) => return Err(Ending::Reset),
-        }
+            Ok(None) if decoder.buffer().space().is_empty() => Ending::Malformed("a message is too long"),
+            Ok(None) => match stream.read(decoder.buffer().space()) {
+                Ok(0) => Ending::PeerClosed,
+                Ok(count) => {
+                    decoder.buffer().filled(count);
+                    continue;
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    outbox.waits(!decoder.buffer().unread().is_empty());
+                    let paced = taken > 0 && !outbox.pace().is_zero();
+                    return Ok(if paced { Turn::Full } else { Turn::Empty });
+                }
+                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+                Err(_) => return Err(Ending::Reset),
+            },
+            Err(wrong) => Ending::Malformed(wrong.0),
+        };
+        outbox.state().ending = Some(ending);
+        return Ok(Turn::Stopped(ending));
     }
-    Ok(false)
+    outbox.waits(false);
+    Ok(Turn::Empty)
 }
 
 /// Says that all is said and reads what still comes, for a close with unread bytes would take back answers
 /// that the peer has not read yet.
-fn linger(mut stream: TcpStream, ending: Ending) {
-    if ending == Ending::PeerClosed || stream.shutdown(Shutdown::Write).is_err() {
+pub fn linger(mut stream: TcpStream, ending: Ending) {
+    if matches!(ending, Ending::PeerClosed | Ending::Reset) || stream.shutdown(Shutdown::Write).is_err() {
         return;
     }
-    let mut unread = [0; 1024];
-    let _ = stream.set_read_timeout(Some(LINGER));
+    let mut unread = [0; 2048];
+    let until = Instant::now() + LINGER;
     for _ in 0..LINGER_READS {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() || stream.set_read_timeout(Some(left)).is_err() {
+            return;
+        }
         if !matches!(stream.read(&mut unread), Ok(1..)) {
             return;
         }
--- a/crates/loomflow-server/src/main.rs
+++ b/crates/loomflow-server/src/main.rs
@@ -2,10 +2,10 @@
 
 mod accept;
 mod answer;
+mod budget;
 mod call;
 mod clock;
 mod control;
-mod drain;
 mod ending;
 mod intake;
 mod keys;
@@ -13,6 +13,7 @@
 mod log;
 mod owner;
 mod run;
+mod signal;
 mod table;
 
 use std::path::PathBuf;
@@ -62,10 +63,17 @@
     }
 }
 
+/// Signals first: from then on none of them ends the process unasked.
+fn serve(file: PathBuf) -> Result<(), String> {
+    let signals = signal::Signals::catch()?;
+    let config = Config::load(&file)?;
+    owner::serve(config, file, signals)
+}
+
 fn main() -> ExitCode {
     let config = std::env::var_os("PROXY_CONFIG").map(PathBuf::from);
     let done = match command(lexopt::Parser::from_env(), config) {
-        Ok(Command::Serve(file)) => Config::load(&file).and_then(owner::serve),
+        Ok(Command::Serve(file)) => serve(file),
         Ok(Command::CheckConfig(file)) => Config::load(&file).map(|c| println!("{}: good", c.name)),
         Ok(Command::Version) => {
             println!("loomflow {}", env!("CARGO_PKG_VERSION"));
--- a/crates/loomflow-server/src/owner.rs
+++ b/crates/loomflow-server/src/owner.rs
@@ -2,6 +2,7 @@
 //! that has arrived to the module as one batch, carries the actions out and gives the drivers what to write.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
@@ -15,15 +16,17 @@
 
 use crate::accept::{Accepting, ConnectionId};
 use crate::answer::Gateways;
-use crate::call::{Ended, Ledger};
+use crate::budget::Budget;
+use crate::call::{Ended, Ledger, NewCall};
 use crate::clock::{Clock, Now};
 use crate::ending::Ending;
 use crate::intake;
 use crate::keys::{Found, Key, Keys};
 use crate::link::Outbox;
 use crate::run::{self, Engine, Fate, LinkNumber, Pending, Sent};
+use crate::signal::Signals;
 use crate::table::{Entry, Table, Work};
-use crate::{control, drain, log};
+use crate::{control, log};
 
 /// Stack of a connection's coroutine, in words of 8 bytes.
 const STACK_WORDS: usize = 4096;
@@ -41,12 +44,16 @@
 pub enum Input {
     Opened(ConnectionId, Arc<Outbox>),
     Request(ConnectionId, Request),
+    /// The peer has made an end to reading; what is open is to be settled.
+    Stopped(ConnectionId, Ending),
     Ended(ConnectionId, Ending),
     Notice(LinkNumber, Notice),
     EngineEnded(LinkNumber, Ending),
     Reply(LinkNumber, Reply),
     LedgerEnded(LinkNumber, Ending, u64),
     Leave,
+    /// The configuration was read again, or could not be.
+    Reload(Result<Box<Config>, String>),
 }
 
 #[derive(Default)]
@@ -84,6 +91,7 @@
     now: Now,
     accepting: Accepting,
     ready: Arc<AtomicBool>,
+    control: control::Moves,
     /// There is none before the engine is up.
     choice: Option<Choice>,
     touched: bool,
@@ -106,15 +114,14 @@
 }
 
 /// Serves until told to leave and nothing is owed any more.
-pub fn serve(config: Config) -> Result<(), String> {
+pub fn serve(config: Config, file: PathBuf, signals: Signals) -> Result<(), String> {
     may::config().set_workers(1).set_stack_size(STACK_WORDS).set_worker_pin(false);
     let mailbox = Arc::new(Mailbox::default());
-    drain::watch(mailbox.clone())?;
-    let accepting = Accepting::start(config.listen, config.sockets, mailbox.clone())?;
+    signals.watch(file, mailbox.clone())?;
+    let budget = Budget::of(&config);
+    let accepting = Accepting::start(config.listen, budget.gateways, mailbox.clone())?;
     let ready = Arc::new(AtomicBool::new(true));
-    if let Some(to) = config.control {
-        control::start(to, config.name.clone(), ready.clone());
-    }
+    let control = control::start(config.control, config.name.clone(), ready.clone());
     let clock = Clock::start();
     let mut owner = Owner {
         site: config.site.clone(),
@@ -122,15 +129,16 @@
         now: clock.now(),
         accepting,
         ready,
+        control,
         choice: None,
         touched: false,
         events: VecDeque::new(),
         table: Table::default(),
         repeats: BTreeMap::new(),
         keys: Keys::default(),
-        gateways: Gateways::default(),
+        gateways: Gateways::new(config.site.settings.idle, budget.crowded),
         engine: Engine::start(config.engine, mailbox.clone()),
-        ledger: Ledger::new(config.ledger, mailbox.clone()),
+        ledger: Ledger::new(config.ledger, budget.ledger, mailbox.clone()),
         good: true,
         stored: false,
         tests: BTreeMap::new(),
@@ -212,7 +220,9 @@
         for ended in self.ledger.sweep(now) {
             self.call_ended(ended);
         }
-        self.gateways.sweep(now);
+        for stuck in self.gateways.sweep(now) {
+            self.connection_over(stuck, Ending::Malformed("the rest of a message does not come"));
+        }
         self.keys.expire(now);
         if self.engine.overdue(now) {
             self.say_again();
@@ -241,10 +251,9 @@
         match input {
             Input::Opened(id, outbox) => self.gateways.opened(id, outbox, now),
             Input::Request(id, request) => self.request(id, request),
+            Input::Stopped(id, ending) => self.connection_over(id, ending),
             Input::Ended(id, ending) => {
-                if let Ending::Malformed(why) = ending {
-                    log!("a gateway's connection ended: {why}");
-                }
+                self.connection_over(id, ending);
                 self.gateways.ended(id);
             }
             Input::Notice(link, notice) => {
@@ -254,11 +263,7 @@
             }
             Input::EngineEnded(link, ending) => {
                 if let Some(written) = self.engine.ended(link, ending, now) {
-                    for (_, entry) in self.table.iter_mut() {
-                        if let Some(pending) = &mut entry.pending {
-                            pending.fate = pending.fate.after(link, written);
-                        }
-                    }
+                    self.link_over(link, written);
                 }
             }
             Input::Reply(link, reply) => {
@@ -273,6 +278,8 @@
                 }
             }
             Input::Leave => self.leave(),
+            Input::Reload(Ok(config)) => self.reload(*config),
+            Input::Reload(Err(why)) => log!("told to read the configuration again, which stays: {why}"),
         }
     }
 
@@ -280,8 +287,10 @@
 
     fn request(&mut self, connection: ConnectionId, request: Request) {
         let tag = request.tag();
-        if !self.gateways.opens(connection, tag) {
-            return;
+        match self.gateways.opens(connection, tag) {
+            Ok(true) => {}
+            Ok(false) => return,
+            Err(ending) => return self.connection_over(connection, ending),
         }
         match request {
             Request::Health { real, .. } => self.check(connection, tag, real),
@@ -290,9 +299,38 @@
         }
     }
 
+    /// Settles what is open on a connection that ends: it has failed, where somebody may hear so, and its caller is
+    /// gone in any case.
+    fn connection_over(&mut self, connection: ConnectionId, ending: Ending) {
+        if let Ending::Malformed(why) = ending {
+            log!("a gateway's connection ends: {why}");
+        }
+        let open = self.gateways.stop(connection, ending);
+        if open.is_empty() {
+            return;
+        }
+        let left = self.table.iter_mut().filter(|(_, e)| e.connection == connection && !e.answered);
+        let left: Vec<RequestId> = left.map(|(id, _)| id).collect();
+        for id in left {
+            self.table.answer(id);
+            self.events.push_back(Event::CallerGone(id));
+            self.settle(id);
+        }
+        for tag in open {
+            if ending.is_answered() {
+                self.gateways.answer(connection, tag, Word::Failed, Advice::default(), &[], self.now.ms);
+            } else {
+                self.gateways.drop_tag(connection, tag);
+            }
+        }
+    }
+
     /// Answers what cannot become a request of the module's.
     fn turn_down(&mut self, connection: ConnectionId, tag: u64, word: Word, why: &str) {
         log!("a request was not taken: {why}");
+        if word == Word::Failed {
+            self.gateways.strike(connection);
+        }
         self.gateways.answer(connection, tag, word, Advice::default(), &[], self.now.ms);
     }
 
@@ -352,7 +390,15 @@
     /// The final answer, and an end to what is done for the request.
     fn answer(&mut self, id: RequestId, word: Word, advice: Advice, body: &[u8]) {
         let Some(entry) = self.table.answer(id) else { return };
-        let (connection, tag, work) = (entry.connection, entry.tag, entry.work);
+        let (connection, tag) = (entry.connection, entry.tag);
+        self.gateways.answer(connection, tag, word, advice, body, self.now.ms);
+        self.settle(id);
+    }
+
+    /// Nothing more is owed to a request: an end to what is done for it.
+    fn settle(&mut self, id: RequestId) {
+        let Some(entry) = self.table.get(id) else { return };
+        let work = entry.work;
         entry.body = Vec::new();
         // A run whose command never arrived, or is not known to, would be waited for in vain.
         let lost = match &entry.pending {
@@ -360,11 +406,10 @@
             Some(Pending { fate: Fate::Unsent | Fate::Unknown, .. }) => Some(Outcome::Cancelled),
             _ => None,
         };
-        self.gateways.answer(connection, tag, word, advice, body, self.now.ms);
         match work {
             Work::Held | Work::Reusing => self.remove(id, None),
             Work::Running | Work::AtCall => {
-                self.ledger.give_up(id);
+                self.ledger.give_up(id, self.now.ms);
                 if let Some(outcome) = lost {
                     self.events.push_back(Event::RunEnded { id, outcome, took: 0.0 });
                     self.remove(id, None);
@@ -438,8 +483,17 @@
         }
     }
 
+    /// What was said on a link that is over may have arrived or not.
+    fn link_over(&mut self, link: LinkNumber, written: u64) {
+        for (_, entry) in self.table.iter_mut() {
+            if let Some(pending) = &mut entry.pending {
+                pending.fate = pending.fate.after(link, written);
+            }
+        }
+    }
+
     fn run_ended(&mut self, id: RequestId, end: End, took: f64, result: &[u8]) {
-        self.ledger.give_up(id);
+        self.ledger.give_up(id, self.now.ms);
         let outcome = match end {
             End::Fine => Outcome::Ok,
             End::Fault => Outcome::Error,
@@ -537,7 +591,14 @@
             }
             Action::Call { id, abandon_at } => {
                 let Some(entry) = self.table.get(id) else { return };
-                if !self.ledger.call(id, entry.try_id, &entry.call_body, now, abandon_at) {
+                let call = NewCall {
+                    id,
+                    try_id: entry.try_id,
+                    effect: entry.effect != Effect::Safe,
+                    body: &entry.call_body,
+                    until: abandon_at,
+                };
+                if !self.ledger.call(call, now) {
                     let outcome = Outcome::Unreachable;
                     self.events.push_back(Event::CallEnded { id, outcome, took: 0.0 });
                 }
@@ -569,7 +630,24 @@
         }
     }
 
-    // ---- Leaving ----
+    // ---- A new configuration, and leaving ----
+
+    /// New addresses count from now on; what cannot change while serving stays as it was at the start.
+    fn reload(&mut self, new: Config) {
+        let fixed = self.config.fixed_in(&new);
+        if !fixed.is_empty() {
+            log!("these keys count from the next start on: {}", fixed.join(", "));
+        }
+        if let Some((link, written)) = self.engine.moved(new.engine) {
+            self.link_over(link, written);
+        }
+        self.ledger.moved(new.ledger, self.now.ms);
+        if new.control != self.config.control && self.control.send(new.control).is_err() {
+            log!("reports have ended");
+        }
+        log!("the configuration was read again");
+        (self.config.engine, self.config.ledger, self.config.control) = (new.engine, new.ledger, new.control);
+    }
 
     fn leave(&mut self) {
         if std::mem::replace(&mut self.leaving, true) {
--- a/crates/loomflow-server/src/run.rs
+++ b/crates/loomflow-server/src/run.rs
@@ -114,11 +114,14 @@
         let (number, to, pause) = (self.number, self.to, self.pause);
         let (outbox, mailbox) = (self.outbox.clone(), self.mailbox.clone());
         may::go!(move || {
-            let ending = match link::open(to, pause) {
+            let ending = match link::open(to, pause, &outbox) {
                 Err(ending) => ending,
-                Ok(stream) => link::drive(stream, &outbox, Notices::default(), |notice| {
-                    mailbox.put(Input::Notice(number, notice));
-                }),
+                Ok(stream) => {
+                    let deliver = |notice| mailbox.put(Input::Notice(number, notice));
+                    let (stream, ending) = link::drive(stream, &outbox, Notices::default(), deliver, |_| {});
+                    mailbox.put(Input::EngineEnded(number, ending));
+                    return link::linger(stream, ending);
+                }
             };
             mailbox.put(Input::EngineEnded(number, ending));
         });
@@ -142,6 +145,19 @@
         Some(written)
     }
 
+    /// The engine is reached elsewhere: a new link is opened there at once. What the old one has not written is
+    /// dropped, and it ends once the peer has read the rest. The answer is the old link and how much of it was
+    /// written; none where nothing has changed.
+    pub fn moved(&mut self, to: SocketAddr) -> Option<(LinkNumber, u64)> {
+        if to == self.to {
+            return None;
+        }
+        let old = (self.number, self.outbox.abort());
+        (self.to, self.pause, self.attached_at) = (to, Duration::ZERO, f64::INFINITY);
+        self.open();
+        Some(old)
+    }
+
     /// Whether a notice is to be taken in: it is of this link and was not read before.
     pub fn fresh(&mut self, number: LinkNumber, notice: &Notice) -> bool {
         if number != self.number {
--- /dev/null
+++ b/crates/loomflow-server/tests/reload.rs
@@ -0,0 +1,137 @@
+//! SIGHUP: new addresses count at once, nothing in hand is lost, and a bad file changes nothing.
+
+mod stand_ins;
+
+use stand_ins::*;
+
+const LONG: f64 = 20_000.0;
+
+/// Waits for a line of the log.
+fn logged(world: &World, text: &str) {
+    let until = std::time::Instant::now() + PATIENCE;
+    while !world.log().contains(text) {
+        assert!(std::time::Instant::now() < until, "{text}: {}", world.log());
+        std::thread::sleep(std::time::Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn engine_ledger_and_control_plane_move_with_runs_and_calls_in_hand() {
+    let (mut world, engine) = World::serving(site(LONG));
+    let old_ledger = world.ledger.open();
+    let mut gateway = world.gateway();
+    let running = gateway.call(1, "pay", b"a");
+    engine.expect("RUN");
+    let calling = gateway.call(2, "pay", b"b");
+    engine.expect("RUN");
+    engine.need(1, &calling, b"call");
+    let old_call = old_ledger.link();
+    old_call.expect("post");
+    let held = world.moved();
+    world.signal("HUP");
+    // The new link goes on where the old one was.
+    let moved = world.engine.link();
+    moved.hello("ATTACH 1");
+    moved.done(2, &running, b"A");
+    assert_eq!(gateway.answer().body, b"A");
+    // A call in hand is finished where it was made; its reply and all later calls go the new way.
+    old_call.say_body(&format!("{calling} posted"), b"ok");
+    assert_eq!(moved.expect("FEED").word(1), calling);
+    let ledger = world.ledger.open();
+    moved.need(3, &calling, b"second");
+    ledger.link().expect("post");
+    old_ledger.has_no_link();
+    assert!(world.control.report().ends_with("{\"condition\":\"Ready\"}"));
+    // The old link takes nothing more, and ends.
+    engine.is_closed();
+    drop(held);
+    assert!(world.is_running());
+}
+
+#[test]
+fn commands_said_just_before_a_move_are_not_lost() {
+    let (mut world, engine) = World::serving(site(LONG));
+    let mut gateway = world.gateway();
+    let _old = world.moved();
+    let id = gateway.call(1, "read", b"x");
+    engine.expect("RUN");
+    world.signal("HUP");
+    let moved = world.engine.link();
+    moved.hello("ATTACH 0");
+    // A second RUN of what runs already does nothing, and this one has no effect.
+    assert_eq!(moved.expect("RUN").word(1), id);
+    moved.done(1, &id, b"y");
+    assert_eq!(gateway.answer().word, "OK");
+}
+
+#[test]
+fn a_file_that_cannot_be_used_changes_nothing_and_one_line_names_the_key() {
+    let (mut world, engine) = World::serving(site(LONG));
+    let mut gateway = world.gateway();
+    let good = world.config.clone();
+    let mut wrong = good.clone();
+    wrong["ledger"] = "nowhere".into();
+    let cases = [
+        (Some(wrong.to_string()), "ledger: not an address"),
+        (Some(good.to_string()[..200].to_owned()), "not JSON"),
+        (Some("[".repeat(100_000)), "not JSON"),
+        (None, "cannot be read"),
+    ];
+    for (number, (text, why)) in (1..).zip(cases) {
+        match text {
+            Some(text) => world.write(&text),
+            None => world.remove_file(),
+        }
+        world.signal("HUP");
+        logged(&world, why);
+        let id = gateway.call(number, "read", b"x");
+        engine.expect("RUN");
+        engine.done(number, &id, b"y");
+        assert_eq!(gateway.answer().word, "OK");
+    }
+    // The same file again disturbs nothing; what cannot change is named.
+    let mut other = good;
+    other["seed"] = "1".into();
+    other["limits"]["sockets"] = 99.into();
+    world.write(&other.to_string());
+    world.signal("HUP");
+    logged(&world, "these keys count from the next start on: seed, limits");
+    engine.is_quiet();
+    assert!(world.is_running());
+}
+
+#[test]
+fn two_moves_at_once_and_one_while_the_link_is_down_end_at_the_last_address() {
+    let (mut world, engine) = World::serving(site(LONG));
+    let mut gateway = world.gateway();
+    engine.cut();
+    let first = world.moved();
+    world.signal("HUP");
+    let second = world.moved();
+    world.signal("HUP");
+    let engine = world.engine.link();
+    engine.hello("ATTACH 0");
+    let id = gateway.call(1, "pay", b"x");
+    assert_eq!(engine.expect("RUN").word(1), id);
+    engine.done(1, &id, b"y");
+    assert_eq!(gateway.answer().word, "OK");
+    drop((first, second));
+}
+
+#[test]
+fn a_move_while_leaving_still_answers_all_that_is_held() {
+    let (mut world, engine) = World::serving(site(LONG));
+    let mut gateway = world.gateway();
+    let id = gateway.call(1, "pay", b"x");
+    engine.expect("RUN");
+    let _old = world.moved();
+    world.terminate();
+    assert_eq!(gateway.answer().word, "BYE");
+    world.signal("HUP");
+    let moved = world.engine.link();
+    moved.hello("ATTACH 0");
+    moved.done(1, &id, b"y");
+    assert_eq!(gateway.answer().word, "OK");
+    drop(gateway);
+    assert_eq!(world.exit_code(), Some(0));
+}
--- a/crates/loomflow-server/tests/service.rs
+++ b/crates/loomflow-server/tests/service.rs
@@ -56,8 +56,9 @@
         below.say_body(&format!("{id} posted"), b"\r\nreply\xff");
         let feed = engine.expect("FEED");
         assert_eq!((feed.word(1), feed.body.as_slice()), (id.as_str(), &b"\r\nreply\xff"[..]));
-        // A run may need several calls, one after the other, on the same connection.
+        // A run may need several calls, one after the other. They go on connections of their own.
         engine.need(2, &id, b"second");
+        let below = ledger.link();
         assert_eq!(below.expect("post").body, b"second");
         below.say_body(&format!("{id} posted"), b"");
         engine.expect("FEED");
--- a/crates/loomflow-settings/src/config.rs
+++ b/crates/loomflow-settings/src/config.rs
@@ -26,8 +26,13 @@
     /// Descriptors that the process may hold.
     pub sockets: usize,
     pub site: Site,
+    /// The keys that cannot change while serving, as they stand in the file.
+    fixed: Vec<(&'static str, Value)>,
 }
 
+/// Only addresses of what a server speaks with are taken from a file that is read again.
+const FIXED: [&str; 6] = ["name", "listen", "seed", "stop_ms", "limits", "settings"];
+
 impl Config {
     pub fn load(path: &Path) -> Read<Config> {
         let named = |e: String| format!("{}: {e}", path.display());
@@ -50,8 +55,15 @@
             stop_ms: root.positive("stop_ms")?,
             sockets: sockets(&root.child_or_empty("limits")?)?,
             site: Site::read(&root.child("settings")?)?,
+            fixed: FIXED.iter().map(|key| (*key, root.get(key).cloned().unwrap_or_default())).collect(),
         })
     }
+
+    /// The keys in which a later reading differs, although they cannot change while serving.
+    pub fn fixed_in(&self, later: &Config) -> Vec<&'static str> {
+        let pairs = self.fixed.iter().zip(&later.fixed);
+        pairs.filter(|(now, then)| now != then).map(|(now, _)| now.0).collect()
+    }
 }
 
 fn sockets(limits: &Node) -> Read<usize> {
--- a/crates/loomflow-settings/src/site.rs
+++ b/crates/loomflow-settings/src/site.rs
@@ -115,6 +115,7 @@
         idle: domain.not_negative("Idle")?,
         handshake_price: prices.number("Handshake")?,
         tells_wait: domain.flag("PassesDeadline")?,
+        tells_gone: domain.flag("TellsGone")?,
         cold: domain.flag("Cold")?,
         cold_share: rules.number("ColdShare")?,
         cold_span: rules.not_negative("Cold")?,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -329,7 +329,7 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.answered = true;
         let waited = (now - request.reached) / self.set.classes[request.class].aim.max(self.set.tick);
-        if !request.retry && waited >= 0.5 {
+        if self.set.tells_gone && !request.retry && waited >= 0.5 {
             self.waited.add(waited.min(1.0));
         }
         match request.stage {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -110,6 +110,8 @@
     pub handshake_price: f64,
     /// Requests tell how long their caller still waits.
     pub tells_wait: bool,
+    /// A caller that leaves says so; elsewhere it is gone because its connection broke.
+    pub tells_gone: bool,
     /// Started into a running fleet, with caches and code still cold.
     pub cold: bool,
     pub cold_share: f64,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -47,6 +47,7 @@
         idle: 15_000.0,
         handshake_price: 0.0,
         tells_wait: false,
+        tells_gone: true,
         cold: false,
         cold_share: 0.25,
         cold_span: 15_000.0,
