--- a/crates/loomflow-server/src/call.rs
+++ b/crates/loomflow-server/src/call.rs
@@ -147,9 +147,14 @@
     pub fn give_up(&mut self, id: RequestId, now: f64) {
         let Some(call) = self.calls.remove(&id) else { return };
         let Some(link) = self.links.get_mut(&call.link) else { return };
-        link.outbox.add(|out| ledger::abandon(out, call.try_id));
         link.open -= 1;
-        link.until.get_or_insert(now + LEFT);
+        if link.open > 0 {
+            link.outbox.add(|out| ledger::abandon(out, call.try_id));
+            link.until.get_or_insert(now + LEFT);
+        } else if let Some(link) = self.links.remove(&call.link) {
+            // That gives up its call as well.
+            link.outbox.abort();
+        }
     }
 
     pub fn replied(
@@ -300,6 +305,19 @@
         assert!(ledger.links.is_empty() && ledger.calls.is_empty());
     }
 
+    #[test]
+    fn a_call_given_up_ends_its_connection_and_no_other_call() {
+        let mut ledger = ledger(1);
+        call(&mut ledger, 1, true, 0.0);
+        call(&mut ledger, 2, true, 0.0);
+        let added = ledger.links[&1].outbox.added();
+        ledger.give_up(1, 1.0);
+        assert!(ledger.links[&1].outbox.added() > added && !ledger.links[&1].outbox.is_ending());
+        let outbox = ledger.links[&1].outbox.clone();
+        ledger.give_up(2, 1.0);
+        assert!(outbox.is_ending() && ledger.links.is_empty());
+    }
+
     #[test]
     fn a_reply_on_another_connection_is_not_taken() {
         let mut ledger = ledger(9);
--- a/crates/loomflow-server/src/owner.rs
+++ b/crates/loomflow-server/src/owner.rs
@@ -111,6 +111,9 @@
     wakes: BTreeSet<i64>,
     gauges_at: f64,
     leaving: bool,
+    /// When it is over with new requests after the notice to leave; whether it is.
+    closes_at: f64,
+    closed: bool,
 }
 
 /// Serves until told to leave and nothing is owed any more.
@@ -145,6 +148,8 @@
         wakes: BTreeSet::new(),
         gauges_at: f64::INFINITY,
         leaving: false,
+        closes_at: f64::INFINITY,
+        closed: false,
         config,
     };
     while !owner.over() {
@@ -174,13 +179,13 @@
 
 impl Owner {
     fn over(&self) -> bool {
-        self.leaving && self.table.unanswered() == 0 && self.gateways.settled(self.now.ms)
+        self.closed && self.table.unanswered() == 0 && self.gateways.settled(self.now.ms)
     }
 
     fn next_wake(&self) -> f64 {
         let timer = self.wakes.first().map_or(f64::INFINITY, |at| *at as f64 / 1000.0);
         let limit = self.ledger.next_limit().unwrap_or(f64::INFINITY);
-        timer.min(self.gauges_at).min(limit).min(self.now.ms + SWEEP)
+        timer.min(self.gauges_at).min(limit).min(self.closes_at).min(self.now.ms + SWEEP)
     }
 
     fn batch(&mut self, inputs: Vec<Input>) {
@@ -235,6 +240,9 @@
 
     fn timers(&mut self) {
         let now = self.now.ms;
+        if now >= self.closes_at {
+            self.close();
+        }
         if now >= self.gauges_at {
             self.gauges_at = f64::INFINITY;
             self.engine.ask_gauges();
@@ -654,9 +662,17 @@
             return;
         }
         log!("told to leave");
-        self.accepting.stop();
+        let grace = self.site.settings.drain_grace.min(self.config.stop_ms / 2.0);
+        self.closes_at = self.now.ms + grace;
         self.events.push_back(Event::Leaving { left: self.config.stop_ms });
         self.follow_up();
+    }
+
+    /// From here on nothing that comes is run: no connection is taken, and no request is asked for.
+    fn close(&mut self) {
+        self.closes_at = f64::INFINITY;
+        self.closed = true;
+        self.accepting.stop();
         self.gateways.leave(self.now.ms);
     }
 }
--- a/crates/loomflow-server/tests/leaving.rs
+++ b/crates/loomflow-server/tests/leaving.rs
@@ -23,6 +23,32 @@
     assert_eq!(world.exit_code(), Some(0));
 }
 
+#[test]
+fn until_the_grace_is_over_new_connections_and_requests_are_served() {
+    let (mut world, engine) = World::serving(site(LONG));
+    let mut old = world.gateway();
+    old.send(&health(1, false));
+    assert_eq!(old.answer().word, "UP");
+    world.terminate();
+    let mut both = [old, world.gateway()];
+    for (gateway, number) in both.iter_mut().zip(1..) {
+        let id = gateway.call(2, "pay", b"x");
+        assert_eq!(engine.expect("RUN").word(1), id);
+        engine.done(number, &id, b"y");
+        assert_eq!(gateway.answer().word, "OK");
+    }
+    for gateway in &mut both {
+        bye(gateway);
+        // A request that comes later never runs; its stamp is in whole ms.
+        std::thread::sleep(std::time::Duration::from_millis(5));
+        gateway.call(3, "pay", b"x");
+        assert_eq!(gateway.answer().word, "BUSY");
+    }
+    drop(both);
+    engine.is_closed();
+    assert_eq!(world.exit_code(), Some(0));
+}
+
 #[test]
 fn a_gateway_that_does_not_close_is_not_waited_for() {
     let (mut world, _engine) = World::serving(site(LONG));
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -450,7 +450,7 @@
 
 impl Choice {
     fn tell_share(&mut self, out: &mut Vec<Action>) {
-        if self.now - self.share.sampled_at < self.share.period || self.leaving.is_some() {
+        if self.now - self.share.sampled_at < self.share.period {
             return;
         }
         let held = self.hold.iter().filter_map(|k| self.requests.get(&k.2));
@@ -459,8 +459,9 @@
         if self.starved() {
             self.limit.cut(self.now, self.set.cores / 3.0);
         }
-        // A cold server asks for no more than its part of the speed.
+        // A cold server asks for no more than its part of the speed, one that begins no more for nothing.
         let value = self.share.value.min(self.speed_share()).max(SHARE_FLOOR);
+        let value = if self.leaving.is_some_and(|l| self.now >= l.run_until) { 0.0 } else { value };
         if (value - self.share.told).abs() >= 0.01 || (value == 1.0 && self.share.told != 1.0) {
             self.share.told = value;
             self.tell(value, out);
@@ -663,7 +664,7 @@
         self.rng = self.rng.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         let spread = 0.75 + 0.5 * ((self.rng >> 40) as f64 / (1u64 << 24) as f64);
         let wait = (self.hold_work / self.limit.value).max(self.share.unread) * spread * ADVICE;
-        let pause = if self.leaving.is_some() { f64::INFINITY } else { wait };
+        let pause = if self.leaving.is_some_and(|l| self.now >= l.run_until) { f64::INFINITY } else { wait };
         Action::Refuse { id, pause: pause.min(self.set.longest_pause), last }
     }
 
@@ -996,12 +997,12 @@
 // ---- Leaving ----
 
 impl Choice {
-    /// Rule 3. Everything read is answered a margin before the stop; callers are asked to go elsewhere.
+    /// Rule 3. Everything read is answered a margin before the stop; callers are asked to go elsewhere once
+    /// nothing more is begun: until then the others would miss this server's part.
     fn leave(&mut self, left: f64, out: &mut Vec<Action>) {
         let answer_by = self.now + left - self.margin() - self.set.answer_slack;
         self.leaving = Some(Leaving { run_until: self.now + self.set.drain_grace, answer_by });
         out.push(Action::Health { good: false, stored: true });
-        self.tell(0.0, out);
         let ids: Vec<RequestId> = self.requests.keys().copied().collect();
         for id in ids {
             let margin = self.margin();
