--- a/crates/loomflow-server/src/owner.rs
+++ b/crates/loomflow-server/src/owner.rs
@@ -229,8 +229,13 @@
             self.connection_over(stuck, Ending::Malformed("the rest of a message does not come"));
         }
         self.keys.expire(now);
+        for id in self.table.abandoned(now) {
+            log!("engine: a run was never heard of again");
+            self.events.push_back(Event::RunEnded { id, outcome: Outcome::Cancelled, took: 0.0 });
+            self.remove(id, None);
+        }
         if self.engine.overdue(now) {
-            self.say_again();
+            self.say_again(false);
         }
         while let Some(test) = self.tests.first_entry().filter(|t| now >= t.get().until) {
             let test = test.remove();
@@ -320,7 +325,7 @@
         let left = self.table.iter_mut().filter(|(_, e)| e.connection == connection && !e.answered);
         let left: Vec<RequestId> = left.map(|(id, _)| id).collect();
         for id in left {
-            self.table.answer(id);
+            self.table.answer(id, self.now.ms);
             self.events.push_back(Event::CallerGone(id));
             self.settle(id);
         }
@@ -363,18 +368,7 @@
             self.repeats.insert(id, original);
         }
         let arrival = intake::arrival(&call, place, id, repeats, self.now);
-        let entry = Entry {
-            connection,
-            tag,
-            try_id: call.id,
-            class: place.class,
-            effect,
-            body: call.body,
-            answered: false,
-            work: Work::Held,
-            pending: None,
-            call_body: Vec::new(),
-        };
+        let entry = Entry::held(connection, tag, call.id, place.class, effect, call.body);
         self.table.add(id, entry);
         self.events.push_back(Event::Arrived(arrival));
     }
@@ -397,7 +391,7 @@
 
     /// The final answer, and an end to what is done for the request.
     fn answer(&mut self, id: RequestId, word: Word, advice: Advice, body: &[u8]) {
-        let Some(entry) = self.table.answer(id) else { return };
+        let Some(entry) = self.table.answer(id, self.now.ms) else { return };
         let (connection, tag) = (entry.connection, entry.tag);
         self.gateways.answer(connection, tag, word, advice, body, self.now.ms);
         self.settle(id);
@@ -410,7 +404,7 @@
         entry.body = Vec::new();
         // A run whose command never arrived, or is not known to, would be waited for in vain.
         let lost = match &entry.pending {
-            Some(Pending { fate: Fate::Unsent, what: Sent::Run }) => Some(Outcome::Moot),
+            Some(Pending { fate: Fate::Unsent, what: Sent::Run, .. }) => Some(Outcome::Moot),
             Some(Pending { fate: Fate::Unsent | Fate::Unknown, .. }) => Some(Outcome::Cancelled),
             _ => None,
         };
@@ -460,7 +454,7 @@
             }
             Notice::Stats { tag, values } => {
                 if self.engine.stats(&tag, values, self.now.ms) {
-                    self.say_again();
+                    self.say_again(true);
                 }
             }
             Notice::Tested { tag, fine } => {
@@ -473,6 +467,9 @@
                 let Some(entry) = self.table.get(id) else { return };
                 (entry.pending, entry.work, entry.call_body) = (None, Work::AtCall, body);
                 entry.body = Vec::new();
+                if entry.said_twice.take().is_some_and(|fence| !self.engine.has_read(fence)) {
+                    return self.second_need(id);
+                }
                 self.events.push_back(Event::NeedsCall(id));
             }
             Notice::Done { id, end, took, result, .. } => {
@@ -493,9 +490,10 @@
 
     /// What was said on a link that is over may have arrived or not.
     fn link_over(&mut self, link: LinkNumber, written: u64) {
+        let now = self.now.ms;
         for (_, entry) in self.table.iter_mut() {
             if let Some(pending) = &mut entry.pending {
-                pending.fate = pending.fate.after(link, written);
+                pending.fate = pending.after(link, written, now);
             }
         }
     }
@@ -517,25 +515,35 @@
         self.remove(id, (end == End::Fine).then_some(result));
     }
 
-    /// A new link is ready, and all notices from before it are read. What cannot have arrived is said now; a
-    /// run that may have is begun again only where it has no effect. Where the answer has been given meanwhile,
-    /// no further word of the run is waited for.
-    fn say_again(&mut self) {
-        let (engine, classes) = (&self.engine, &self.site.classes);
+    /// A new link is ready, and all notices from before it are read. What cannot have arrived is said now. What
+    /// may have: a run is asked for again, whatever its effect, for one that runs or is over is not begun twice.
+    /// A reply is said again only where no effect hangs on it, and after a replay that is known to be whole: what
+    /// came of the first would have been read by then. A question just before it tells whether the run has gone on
+    /// to another call meanwhile, which would get that reply (`second_need`). Where the answer has been given
+    /// meanwhile, no further word of the run is waited for.
+    fn say_again(&mut self, whole: bool) {
+        let (engine, classes, now) = (&mut self.engine, &self.site.classes, self.now.ms);
         let mut over = Vec::new();
         for (id, entry) in self.table.iter_mut() {
             let Some(pending) = &mut entry.pending else { continue };
             match (pending.fate, &pending.what) {
                 (Fate::Under(..), _) => continue,
+                (Fate::Arrived, _) => {
+                    (entry.pending, entry.body) = (None, Vec::new());
+                    continue;
+                }
                 _ if entry.answered => {
                     over.push(id);
                     continue;
                 }
-                (Fate::Unsent, _) => {}
-                (Fate::Unknown, Sent::Run) if entry.effect == Effect::Safe => {}
+                (Fate::Unsent, _) | (Fate::Unknown, Sent::Run) => {}
+                (Fate::Unknown, _) if whole && entry.effect == Effect::Safe => {
+                    entry.said_twice = Some(engine.fence());
+                }
                 (Fate::Unknown, _) => continue,
             }
             let id = entry.try_id;
+            pending.said_at = now;
             pending.fate = match &pending.what {
                 Sent::Run => engine.say(Command::Run { id, class: &classes[entry.class], body: &entry.body }),
                 Sent::Feed(reply) => engine.say(Command::Feed { id, reply }),
@@ -548,11 +556,19 @@
         }
     }
 
+    /// A run is at its next call, and whether that has got the reply that was said again is not known: it fails, for
+    /// its result might be wrong.
+    fn second_need(&mut self, id: RequestId) {
+        log!("a reply that was said again may have met another call: its request fails");
+        self.events.push_back(Event::CallerGone(id));
+        self.answer(id, Word::Failed, Advice::default(), &[]);
+    }
+
     fn call_ended(&mut self, ended: Ended) {
         let Ended { id, outcome, took, reply } = ended;
         if let Some(entry) = self.table.get(id).filter(|_| outcome == Outcome::Ok) {
             let fate = self.engine.say(Command::Feed { id: entry.try_id, reply: &reply });
-            entry.pending = Some(Pending { what: Sent::Feed(reply), fate });
+            entry.pending = Some(Pending { what: Sent::Feed(reply), fate, said_at: self.now.ms });
             entry.work = Work::Running;
         }
         self.events.push_back(Event::CallEnded { id, outcome, took });
@@ -576,7 +592,8 @@
                 };
                 let class = &self.site.classes[entry.class];
                 let run = Command::Run { id: entry.try_id, class, body: &entry.body };
-                entry.pending = Some(Pending { what: Sent::Run, fate: self.engine.say(run) });
+                let fate = self.engine.say(run);
+                entry.pending = Some(Pending { what: Sent::Run, fate, said_at: now });
                 entry.work = Work::Running;
             }
             Action::Reuse(id) => {
@@ -614,7 +631,7 @@
             Action::SkipCall(id) => {
                 if let Some(entry) = self.table.get(id) {
                     let fate = self.engine.say(Command::Skip { id: entry.try_id });
-                    entry.pending = Some(Pending { what: Sent::Skip, fate });
+                    entry.pending = Some(Pending { what: Sent::Skip, fate, said_at: now });
                     entry.work = Work::Running;
                 }
             }
--- a/crates/loomflow-server/src/table.rs
+++ b/crates/loomflow-server/src/table.rs
@@ -21,6 +21,10 @@
     AtCall,
 }
 
+/// The engine tells of the end of every run; one of which nothing was heard for so long after its answer is taken to
+/// be over, ms, so that nothing is held for good.
+const ENDS_WITHIN: f64 = 60_000.0;
+
 #[derive(Debug)]
 pub struct Entry {
     pub connection: ConnectionId,
@@ -31,12 +35,42 @@
     /// As it came; given up once the engine is known to have it.
     pub body: Vec<u8>,
     pub answered: bool,
+    pub answered_at: f64,
     pub work: Work,
     /// The last command to the engine, while no notice shows that it arrived.
     pub pending: Option<Pending>,
+    /// Its last reply was said again, just after this question.
+    pub said_twice: Option<u64>,
     pub call_body: Vec<u8>,
 }
 
+impl Entry {
+    /// A request as it comes.
+    pub fn held(
+        connection: ConnectionId,
+        tag: u64,
+        try_id: TryId,
+        class: usize,
+        effect: Effect,
+        body: Vec<u8>,
+    ) -> Entry {
+        Entry {
+            connection,
+            tag,
+            try_id,
+            class,
+            effect,
+            body,
+            answered: false,
+            answered_at: 0.0,
+            work: Work::Held,
+            pending: None,
+            said_twice: None,
+            call_body: Vec::new(),
+        }
+    }
+}
+
 #[derive(Default)]
 pub struct Table {
     entries: BTreeMap<RequestId, Entry>,
@@ -71,9 +105,9 @@
     }
 
     /// Marks a request as answered; none when it has been already.
-    pub fn answer(&mut self, id: RequestId) -> Option<&mut Entry> {
+    pub fn answer(&mut self, id: RequestId, now: f64) -> Option<&mut Entry> {
         let entry = self.entries.get_mut(&id).filter(|e| !e.answered)?;
-        entry.answered = true;
+        (entry.answered, entry.answered_at) = (true, now);
         self.unanswered -= 1;
         Some(entry)
     }
@@ -85,6 +119,12 @@
         }
     }
 
+    /// Requests that were answered so long ago that no end of their run is to be expected any more.
+    pub fn abandoned(&self, now: f64) -> Vec<RequestId> {
+        let over = |e: &Entry| e.answered && now - e.answered_at >= ENDS_WITHIN;
+        self.entries.iter().filter(|(_, e)| over(e)).map(|(id, _)| *id).collect()
+    }
+
     pub fn unanswered(&self) -> usize {
         self.unanswered
     }
@@ -93,3 +133,22 @@
         self.entries.iter_mut().map(|(id, entry)| (*id, entry))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_run_that_never_ends_is_given_up_long_after_its_answer() {
+        let mut table = Table::default();
+        for id in [1, 2] {
+            table.add(id, Entry::held(1, id.into(), TryId(id.into()), 0, Effect::Safe, Vec::new()));
+        }
+        assert!(table.answer(1, 10.0).is_some() && table.answer(1, 10.0).is_none());
+        assert_eq!(table.unanswered(), 1);
+        assert!(table.abandoned(9.0 + ENDS_WITHIN).is_empty());
+        assert_eq!(table.abandoned(10.0 + ENDS_WITHIN), [1]);
+        // One that is still unanswered is the module's to end.
+        assert_eq!(table.abandoned(1e9), [1]);
+    }
+}
