Figures out of range fail their request; memory limit read and shared out

Bounds on unwritten answers, results and keys were fixed figures that together go beyond 32 MB (keys alone 200,000). Connections were looked at in every batch, up to a thousand times a second.

--- a/crates/loomflow-protocol/src/gateway.rs
+++ b/crates/loomflow-protocol/src/gateway.rs
@@ -182,7 +182,7 @@
         came_at: number("ts", "ts cannot be read")?.ok_or("ts is missing")?,
         gateway: field("via").and_then(digits).ok_or("via is missing or cannot be read")?,
         owner: text("owner", "owner cannot be read")?,
-        work: number("ms", "ms cannot be read")?.filter(|work| *work > 0.0),
+        work: number("ms", "ms cannot be read")?,
         kb,
         rank,
         subject: text("subject", "subject cannot be read")?,
--- a/crates/loomflow-server/src/answer.rs
+++ b/crates/loomflow-server/src/answer.rs
@@ -41,13 +41,15 @@
     leaving: bool,
     /// With more connections than this the longest idle are closed.
     crowded: usize,
+    /// Bytes of answers that may wait to be read by gateways, all together.
+    most_unwritten: usize,
 }
 
 impl Gateways {
     /// `idle`: idle connections are closed after so long, ms, until something else is said.
-    pub fn new(idle: f64, crowded: usize) -> Gateways {
+    pub fn new(idle: f64, crowded: usize, most_unwritten: usize) -> Gateways {
         let close_idle_after = (idle > 0.0).then_some(idle);
-        Gateways { close_idle_after, crowded, ..Gateways::default() }
+        Gateways { close_idle_after, crowded, most_unwritten, ..Gateways::default() }
     }
 
     pub fn opened(&mut self, id: ConnectionId, outbox: Arc<Outbox>, now: f64) {
@@ -124,6 +126,7 @@
     pub fn sweep(&mut self, now: f64) -> Vec<ConnectionId> {
         let after = self.close_idle_after.unwrap_or(f64::INFINITY);
         self.make_room(now);
+        self.shed_unread();
         let crowded = self.connections.len() > self.crowded;
         let bye = if crowded { AFTER_BYE_CROWDED } else { AFTER_BYE };
         let mut stuck = Vec::new();
@@ -163,6 +166,24 @@
         }
     }
 
+    /// Where more answers wait than memory is set aside for, who reads least is broken off.
+    fn shed_unread(&mut self) {
+        let mut unread: Vec<(usize, &Connection)> = self
+            .connections
+            .values()
+            .map(|c| (c.outbox.unwritten(), c))
+            .filter(|(bytes, _)| *bytes > 0)
+            .collect();
+        let mut total: usize = unread.iter().map(|(bytes, _)| bytes).sum();
+        unread.sort_by_key(|(bytes, _)| *bytes);
+        while total > self.most_unwritten {
+            let Some((bytes, connection)) = unread.pop() else { return };
+            crate::log!("a gateway does not read its answers: its connection is broken off");
+            connection.outbox.abort();
+            total -= bytes;
+        }
+    }
+
     /// Asks for no more requests on any connection, and on those that still come.
     pub fn leave(&mut self, now: f64) {
         self.leaving = true;
@@ -199,7 +220,7 @@
     }
 
     fn roomy() -> Gateways {
-        Gateways::new(0.0, usize::MAX)
+        Gateways::new(0.0, usize::MAX, usize::MAX)
     }
 
     impl Gateways {
@@ -210,7 +231,7 @@
 
     #[test]
     fn where_room_is_short_silent_connections_go_first_and_then_the_longest_idle() {
-        let mut gateways = Gateways::new(0.0, 2);
+        let mut gateways = Gateways::new(0.0, 2, usize::MAX);
         let all: Vec<Arc<Outbox>> = (1..=5)
             .map(|id| {
                 let outbox = Arc::new(Outbox::new(Some(MOST_OPEN)));
@@ -234,6 +255,29 @@
         assert_eq!(ending, [true, false, true, false, true]);
     }
 
+    #[test]
+    fn who_reads_least_is_broken_off_when_too_many_answers_wait() {
+        let mut gateways = Gateways::new(0.0, usize::MAX, 10_000);
+        let all: Vec<Arc<Outbox>> = [4_000, 5_000, 900]
+            .into_iter()
+            .zip(1..)
+            .map(|(size, id)| {
+                let outbox = Arc::new(Outbox::new(Some(MOST_OPEN)));
+                gateways.opened(id, outbox.clone(), 0.0);
+                gateways.spoken(id);
+                outbox.add(|out| out.resize(size, 0));
+                outbox
+            })
+            .collect();
+        gateways.sweep(1.0);
+        assert!(all.iter().all(|o| !o.is_ending()));
+        all[2].add(|out| out.resize(out.len() + 200, 0));
+        gateways.sweep(2.0);
+        let ending: Vec<bool> = all.iter().map(|o| o.is_ending()).collect();
+        assert_eq!(ending, [false, true, false]);
+        assert!(all[1].all_written());
+    }
+
     #[test]
     fn a_connection_that_never_says_anything_is_closed() {
         let mut gateways = roomy();
--- a/crates/loomflow-server/src/intake.rs
+++ b/crates/loomflow-server/src/intake.rs
@@ -6,6 +6,14 @@
 
 use crate::clock::Now;
 
+/// A stamp may be older than the request's whole time by so much, after a pause of the machine, or ahead by so much,
+/// ms.
+const STAMP_OLD: f64 = 60_000.0;
+const STAMP_AHEAD: f64 = 1_000.0;
+/// Expected work, and the wait that a caller states, are at most this multiple of the request's whole time. Beyond it
+/// a figure is no estimate, and one such in the hold would let all others look hopeless.
+const MOST_TIMES: f64 = 25.0;
+
 /// Where a request's names stand in the settings.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Place {
@@ -13,14 +21,25 @@
     pub tenant: usize,
 }
 
-/// Finds a request's class and tenant; what is unknown cannot be taken in.
-pub fn place(site: &Site, call: &Call) -> Result<Place, &'static str> {
+/// Finds a request's class and tenant; what is unknown, or out of range, cannot be taken in.
+pub fn place(site: &Site, call: &Call, now: Now) -> Result<Place, &'static str> {
     let class = site.classes.iter().position(|name| *name == call.class).ok_or("the class is not known")?;
     let tenant = match &call.owner {
         _ if site.tenants.is_empty() => 0,
         None => return Err("owner is missing"),
         Some(owner) => site.tenants.iter().position(|name| name == owner).ok_or("the owner is not known")?,
     };
+    let whole = site.settings.classes.get(class).map_or(0.0, |class| class.give_up);
+    let most = whole * MOST_TIMES;
+    if !(now.unix - whole - STAMP_OLD..=now.unix + STAMP_AHEAD).contains(&call.came_at) {
+        return Err("ts is out of range");
+    }
+    if call.work.is_some_and(|work| work <= 0.0 || work > most) {
+        return Err("ms is out of range");
+    }
+    if call.wait_left.is_some_and(|wait| wait > most) {
+        return Err("timeout is out of range");
+    }
     Ok(Place { class, tenant })
 }
 
--- a/crates/loomflow-server/src/keys.rs
+++ b/crates/loomflow-server/src/keys.rs
@@ -6,11 +6,6 @@
 use loomflow::interface::{Effect, RequestId};
 use loomflow_protocol::gateway::Call;
 
-/// Bytes of kept results. Beyond it the oldest go first; a repeat of one of those gets a failed answer.
-const MOST_RESULTS: usize = 16 * 1024 * 1024;
-/// Remembered requests; beyond it the ones that end first are forgotten.
-const MOST_ENTRIES: usize = 200_000;
-
 /// What makes two requests the same: the class and the key.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Key {
@@ -56,6 +51,10 @@
     came: BTreeMap<RequestId, u64>,
     count: u64,
     bytes: usize,
+    /// Bytes of kept results. Beyond it the oldest go first; a repeat of one of those gets a failed answer.
+    most_bytes: usize,
+    /// Remembered requests; beyond it the ones that end first are forgotten.
+    most_entries: usize,
 }
 
 fn us(ms: f64) -> i64 {
@@ -63,6 +62,10 @@
 }
 
 impl Keys {
+    pub fn new(most_bytes: usize, most_entries: usize) -> Keys {
+        Keys { most_bytes, most_entries, ..Keys::default() }
+    }
+
     /// A request that may be remembered has come; what it repeats, if anything.
     pub fn arrived(&mut self, id: RequestId, key: Key, safe: bool, now: f64) -> Option<RequestId> {
         self.expire(now);
@@ -85,7 +88,7 @@
             self.expiry.remove(&(old, id));
         }
         self.expiry.insert((us(until), id));
-        while self.expiry.len() > MOST_ENTRIES {
+        while self.expiry.len() > self.most_entries {
             let Some((_, first)) = self.expiry.pop_first() else { return };
             self.forget(first);
         }
@@ -140,7 +143,7 @@
                 self.came.insert(id, self.count);
             }
         }
-        while self.bytes > MOST_RESULTS {
+        while self.bytes > self.most_bytes {
             let Some(&(_, oldest)) = self.results.first() else { break };
             let Some(kept) = self.kept.get_mut(&oldest) else { break };
             let state = std::mem::replace(&mut kept.state, Found::Failed);
@@ -174,13 +177,15 @@
 mod tests {
     use super::*;
 
+    const MOST_RESULTS: usize = 1024 * 1024;
+
     fn key(text: &str) -> Key {
         Key { class: 0, text: text.into() }
     }
 
     #[test]
     fn a_repeat_finds_the_first_until_its_window_ends() {
-        let mut keys = Keys::default();
+        let mut keys = Keys::new(MOST_RESULTS, 100);
         assert_eq!(keys.arrived(1, key("a"), false, 0.0), None);
         keys.remember(1, 100.0);
         assert_eq!(keys.arrived(2, key("a"), false, 50.0), Some(1));
@@ -194,7 +199,7 @@
 
     #[test]
     fn one_that_is_open_when_its_window_ends_still_serves_those_that_wait() {
-        let mut keys = Keys::default();
+        let mut keys = Keys::new(MOST_RESULTS, 100);
         keys.arrived(1, key("a"), false, 0.0);
         keys.remember(1, 100.0);
         keys.arrived(2, key("a"), false, 50.0);
@@ -207,7 +212,7 @@
     #[test]
     fn a_failed_read_may_be_tried_again_and_what_had_an_effect_may_not() {
         for (safe, repeats) in [(true, None), (false, Some(1))] {
-            let mut keys = Keys::default();
+            let mut keys = Keys::new(MOST_RESULTS, 100);
             keys.arrived(1, key("a"), safe, 0.0);
             keys.remember(1, 100.0);
             keys.over(1, None);
@@ -217,7 +222,7 @@
 
     #[test]
     fn one_that_never_ran_leaves_no_trace() {
-        let mut keys = Keys::default();
+        let mut keys = Keys::new(MOST_RESULTS, 100);
         keys.arrived(1, key("a"), false, 0.0);
         keys.over(1, None);
         assert_eq!(keys.arrived(2, key("a"), false, 1.0), None);
@@ -229,7 +234,7 @@
 
     #[test]
     fn kept_results_are_bounded_and_the_oldest_go_first() {
-        let mut keys = Keys::default();
+        let mut keys = Keys::new(MOST_RESULTS, 100);
         let large = vec![0; MOST_RESULTS / 4];
         for id in 1..=5 {
             keys.arrived(id, key(&id.to_string()), false, 0.0);
--- a/crates/loomflow-server/src/link.rs
+++ b/crates/loomflow-server/src/link.rs
@@ -24,7 +24,7 @@
 const LINGER: Duration = Duration::from_millis(300);
 const LINGER_READS: usize = 32;
 /// Unwritten bytes beyond which nothing more is read.
-const MOST_UNWRITTEN: usize = 192 * 1024;
+const MOST_UNWRITTEN: usize = 64 * 1024;
 
 /// What is still to be written to a connection, and how long it is to be read.
 pub struct Outbox {
@@ -118,8 +118,12 @@
     }
 
     pub fn all_written(&self) -> bool {
+        self.unwritten() == 0
+    }
+
+    pub fn unwritten(&self) -> usize {
         let state = self.state();
-        state.at == state.bytes.len()
+        state.bytes.len() - state.at
     }
 
     #[cfg(test)]
--- a/crates/loomflow-server/src/owner.rs
+++ b/crates/loomflow-server/src/owner.rs
@@ -40,6 +40,9 @@
 /// Longest sleep; idle connections and time limits are looked at as often, ms.
 const SWEEP: f64 = 100.0;
 
+/// Least time between two looks at all connections of gateways, ms.
+const SWEEP_GATEWAYS: f64 = 20.0;
+
 /// What drivers tell the owner.
 pub enum Input {
     Opened(ConnectionId, Arc<Outbox>),
@@ -110,6 +113,7 @@
     /// Times at which the module wants to be woken, us.
     wakes: BTreeSet<i64>,
     gauges_at: f64,
+    sweep_at: f64,
     leaving: bool,
     /// When it is over with new requests after the notice to leave; whether it is.
     closes_at: f64,
@@ -138,8 +142,8 @@
         events: VecDeque::new(),
         table: Table::default(),
         repeats: BTreeMap::new(),
-        keys: Keys::default(),
-        gateways: Gateways::new(config.site.settings.idle, budget.crowded),
+        keys: Keys::new(budget.results, budget.entries),
+        gateways: Gateways::new(config.site.settings.idle, budget.crowded, budget.unwritten),
         engine: Engine::start(config.engine, mailbox.clone()),
         ledger: Ledger::new(config.ledger, budget.ledger, mailbox.clone()),
         good: true,
@@ -147,6 +151,7 @@
         tests: BTreeMap::new(),
         wakes: BTreeSet::new(),
         gauges_at: f64::INFINITY,
+        sweep_at: 0.0,
         leaving: false,
         closes_at: f64::INFINITY,
         closed: false,
@@ -225,8 +230,11 @@
         for ended in self.ledger.sweep(now) {
             self.call_ended(ended);
         }
-        for stuck in self.gateways.sweep(now) {
-            self.connection_over(stuck, Ending::Malformed("the rest of a message does not come"));
+        if now >= self.sweep_at {
+            self.sweep_at = now + SWEEP_GATEWAYS;
+            for stuck in self.gateways.sweep(now) {
+                self.connection_over(stuck, Ending::Malformed("the rest of a message does not come"));
+            }
         }
         self.keys.expire(now);
         for id in self.table.abandoned(now) {
@@ -353,7 +361,7 @@
             self.turn_down(connection, tag, Word::Busy, "the engine is not up");
             return;
         }
-        let place = match intake::place(&self.site, &call) {
+        let place = match intake::place(&self.site, &call, self.now) {
             Ok(place) => place,
             Err(why) => return self.turn_down(connection, tag, Word::Failed, why),
         };
--- a/crates/loomflow-server/tests/command_line.rs
+++ b/crates/loomflow-server/tests/command_line.rs
@@ -59,6 +59,8 @@
         (wrong("/seed", json!("xyz")), "seed"),
         (wrong("/stop_ms", json!(0)), "stop_ms"),
         (wrong("/limits/sockets", json!(0)), "limits.sockets"),
+        (wrong("/limits/memory_mb", json!(0)), "limits.memory_mb"),
+        (wrong("/limits/cores", json!(-1)), "limits.cores"),
         (wrong("/settings", json!("none")), "settings"),
         (wrong("/settings/Classes", json!([])), "settings.Classes"),
         (wrong("/settings/Classes/1/Effect", json!("odd")), "settings.Classes[1].Effect"),
--- a/crates/loomflow-settings/src/config.rs
+++ b/crates/loomflow-settings/src/config.rs
@@ -9,6 +9,7 @@
 use crate::site::Site;
 
 const SOCKETS: u64 = 1024;
+const MEMORY_MB: u64 = 192;
 
 /// What a server is told at its start. Unknown keys are skipped.
 #[derive(Clone, Debug)]
@@ -25,6 +26,9 @@
     pub stop_ms: f64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    pub memory_mb: usize,
+    /// Part of a core that the process may use.
+    pub cores: f64,
     pub site: Site,
     /// The keys that cannot change while serving, as they stand in the file.
     fixed: Vec<(&'static str, Value)>,
@@ -53,7 +57,9 @@
             seed: u64::from_str_radix(seed, 16)
                 .or_else(|_| root.error("seed", "not a hexadecimal number of 64 bits"))?,
             stop_ms: root.positive("stop_ms")?,
-            sockets: sockets(&root.child_or_empty("limits")?)?,
+            sockets: at_least_one(&root.child_or_empty("limits")?, "sockets", SOCKETS)?,
+            memory_mb: at_least_one(&root.child_or_empty("limits")?, "memory_mb", MEMORY_MB)?,
+            cores: cores(&root.child_or_empty("limits")?)?,
             site: Site::read(&root.child("settings")?)?,
             fixed: FIXED.iter().map(|key| (*key, root.get(key).cloned().unwrap_or_default())).collect(),
         })
@@ -66,13 +72,18 @@
     }
 }
 
-fn sockets(limits: &Node) -> Read<usize> {
-    match limits.whole_or("sockets", SOCKETS)? {
-        0 => limits.error("sockets", "not above 0"),
-        sockets => Ok(usize::try_from(sockets).unwrap_or(usize::MAX)),
+fn at_least_one(limits: &Node, key: &str, default: u64) -> Read<usize> {
+    match limits.whole_or(key, default)? {
+        0 => limits.error(key, "not above 0"),
+        whole => Ok(usize::try_from(whole).unwrap_or(usize::MAX)),
     }
 }
 
+/// One thread drives all connections, whatever this says; it must be a share that can be served with.
+fn cores(limits: &Node) -> Read<f64> {
+    if limits.get("cores").is_none() { Ok(1.0) } else { limits.positive("cores") }
+}
+
 /// The name stands in a URL's path, so it is held to what needs no escape there.
 fn name(root: &Node) -> Read<String> {
     let name = root.needed_word("name")?;
