--- a/crates/loomflow-server/src/answer.rs
+++ b/crates/loomflow-server/src/answer.rs
@@ -17,6 +17,8 @@
 /// A connection on which no whole message ever came is closed after this, ms, and where room is short after that.
 const SILENT: f64 = 1_500.0;
 const SILENT_CROWDED: f64 = 100.0;
+/// A connection from which nothing is taken any more is broken off after this, whatever its peer has not read, ms.
+const STOPPED: f64 = 2_000.0;
 /// The rest of a message is waited for so long.
 const HALF: Duration = Duration::from_millis(1_500);
 
@@ -27,8 +29,8 @@
     bye_at: Option<f64>,
     /// A whole message has come on it.
     spoke: bool,
-    /// Nothing more is taken from it.
-    stopped: bool,
+    /// Nothing more is taken from it, since then.
+    stopped: Option<f64>,
 }
 
 #[derive(Default)]
@@ -59,7 +61,7 @@
             idle_since: now,
             bye_at: None,
             spoke: false,
-            stopped: false,
+            stopped: None,
         };
         if self.leaving {
             connection.bye(now);
@@ -75,7 +77,7 @@
     pub fn opens(&mut self, id: ConnectionId, tag: u64) -> Result<bool, Ending> {
         let Some(connection) = self.connections.get_mut(&id) else { return Ok(false) };
         connection.spoke = true;
-        if connection.stopped {
+        if connection.stopped.is_some() {
             connection.outbox.answer(|_| {});
             return Ok(false);
         }
@@ -88,9 +90,9 @@
 
     /// Nothing more is taken from a connection, which ends once what is open on it is settled. The answer is the
     /// tags that are open.
-    pub fn stop(&mut self, id: ConnectionId, ending: Ending) -> Vec<u64> {
+    pub fn stop(&mut self, id: ConnectionId, ending: Ending, now: f64) -> Vec<u64> {
         let Some(connection) = self.connections.get_mut(&id) else { return Vec::new() };
-        connection.stopped = true;
+        connection.stopped.get_or_insert(now);
         connection.outbox.end(ending);
         connection.open.iter().copied().collect()
     }
@@ -130,7 +132,13 @@
         let crowded = self.connections.len() > self.crowded;
         let bye = if crowded { AFTER_BYE_CROWDED } else { AFTER_BYE };
         let mut stuck = Vec::new();
-        for (id, connection) in self.connections.iter_mut().filter(|(_, c)| !c.stopped) {
+        for (id, connection) in &mut self.connections {
+            if let Some(since) = connection.stopped {
+                if now - since >= STOPPED {
+                    connection.outbox.abort();
+                }
+                continue;
+            }
             if connection.outbox.half_for() >= HALF {
                 stuck.push(*id);
             }
@@ -154,7 +162,7 @@
         if over == 0 {
             return;
         }
-        let idle = self.connections.values_mut().filter(|c| !c.stopped && c.open.is_empty());
+        let idle = self.connections.values_mut().filter(|c| c.stopped.is_none() && c.open.is_empty());
         let mut going: Vec<&mut Connection> = idle.collect();
         going.sort_by(|a, b| a.spoke.cmp(&b.spoke).then(a.idle_since.total_cmp(&b.idle_since)));
         for connection in going.into_iter().take(over) {
@@ -278,6 +286,23 @@
         assert!(all[1].all_written());
     }
 
+    #[test]
+    fn a_stopped_connection_whose_peer_does_not_read_is_broken_off() {
+        let mut gateways = roomy();
+        let outbox = opened(&mut gateways);
+        assert_eq!(gateways.opens(1, 7), Ok(true));
+        outbox.taken();
+        assert_eq!(gateways.stop(1, Ending::Malformed("x"), 0.0), [7]);
+        gateways.answer(1, 7, Word::Failed, Advice::default(), &[], 0.0);
+        gateways.sweep(STOPPED - 1.0);
+        assert!(!outbox.all_written());
+        gateways.sweep(STOPPED);
+        assert!(outbox.all_written() && outbox.is_ending());
+        // An answer after that is no longer counted as owed.
+        outbox.answer(|_| {});
+        assert!(outbox.all_written());
+    }
+
     #[test]
     fn a_connection_that_never_says_anything_is_closed() {
         let mut gateways = roomy();
--- a/crates/loomflow-server/src/budget.rs
+++ b/crates/loomflow-server/src/budget.rs
@@ -10,10 +10,11 @@
 /// Gateways open half of the descriptors at the most; beyond this part of their room the longest idle are closed.
 const CROWDED: (usize, usize) = (3, 4);
 
-/// Part of the memory for each: answers that gateways have not read yet, kept results, remembered requests. The rest is
-/// for the program, the coroutines' stacks and buffers (24 KB a connection at the most), and the requests in hand,
-/// whose number the module bounds.
+/// Part of the memory for each: answers that gateways have not read yet, kept results, remembered requests, requests
+/// in hand. The rest is for the program, the coroutines' stacks and buffers (24 KB a connection at the most).
 const MEMORY_PART: usize = 8;
+/// Room of one request in hand with its body, bytes.
+const REQUEST: usize = 2_560;
 /// Room of one remembered request, bytes.
 const ENTRY: usize = 512;
 
@@ -30,6 +31,8 @@
     pub results: usize,
     /// Remembered requests.
     pub entries: usize,
+    /// Requests in hand.
+    pub requests: usize,
 }
 
 impl Budget {
@@ -38,6 +41,31 @@
         let gateways = config.sockets.saturating_sub(ledger + OWN).max(config.sockets / 2).max(1);
         let part = config.memory_mb.saturating_mul(1024 * 1024) / MEMORY_PART;
         let crowded = (gateways * CROWDED.0 / CROWDED.1).max(1);
-        Budget { gateways, crowded, ledger, unwritten: part, results: part, entries: part / ENTRY }
+        let (entries, requests) = (part / ENTRY, (part / REQUEST).max(1));
+        Budget { gateways, crowded, ledger, unwritten: part, results: part, entries, requests }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn of(sockets: u64, memory_mb: u64) -> Budget {
+        let text = serde_json::json!({"name": "n", "listen": "127.0.0.1:1", "engine": "127.0.0.1:2", "seed": "1",
+            "stop_ms": 1, "limits": {"sockets": sockets, "memory_mb": memory_mb}, "settings": {
+                "Classes": [{"Effect": "safe", "HardLimit": 9, "OnTime": 3, "Points": 1}],
+                "Domain": {"Cpus": 2, "HeapKb": 100, "RunMemFactor": 8}, "Rules": {"FallMultiple": 5}}});
+        Budget::of(&Config::parse(&text.to_string()).unwrap())
+    }
+
+    #[test]
+    fn all_parts_together_stay_within_the_limits_and_half_the_descriptors_are_for_gateways() {
+        for (sockets, memory_mb) in [(384, 32), (512, 48), (1024, 192)] {
+            let budget = of(sockets, memory_mb);
+            assert!(budget.gateways + budget.ledger + OWN <= sockets as usize);
+            assert!(budget.crowded >= sockets as usize / 2);
+            let all = budget.unwritten + budget.results + budget.entries * ENTRY + budget.requests * REQUEST;
+            assert!(all <= memory_mb as usize * 1024 * 1024 / 2);
+        }
     }
 }
--- a/crates/loomflow-server/src/link.rs
+++ b/crates/loomflow-server/src/link.rs
@@ -91,7 +91,11 @@
 
     /// As `add`, for the answer to one message.
     pub fn answer(&self, write: impl FnOnce(&mut Vec<u8>)) {
-        self.state().open -= 1;
+        {
+            // Nothing is open any more on one that was broken off meanwhile.
+            let mut state = self.state();
+            state.open = state.open.saturating_sub(1);
+        }
         self.add(write);
     }
 
--- a/crates/loomflow-server/src/owner.rs
+++ b/crates/loomflow-server/src/owner.rs
@@ -114,6 +114,8 @@
     wakes: BTreeSet<i64>,
     gauges_at: f64,
     sweep_at: f64,
+    /// Requests in hand at the most: a bound on memory, far beyond what the module holds.
+    most_requests: usize,
     leaving: bool,
     /// When it is over with new requests after the notice to leave; whether it is.
     closes_at: f64,
@@ -152,6 +154,7 @@
         wakes: BTreeSet::new(),
         gauges_at: f64::INFINITY,
         sweep_at: 0.0,
+        most_requests: budget.requests,
         leaving: false,
         closes_at: f64::INFINITY,
         closed: false,
@@ -326,7 +329,7 @@
         if let Ending::Malformed(why) = ending {
             log!("a gateway's connection ends: {why}");
         }
-        let open = self.gateways.stop(connection, ending);
+        let open = self.gateways.stop(connection, ending, self.now.ms);
         if open.is_empty() {
             return;
         }
@@ -361,6 +364,10 @@
             self.turn_down(connection, tag, Word::Busy, "the engine is not up");
             return;
         }
+        if self.table.len() >= self.most_requests {
+            self.turn_down(connection, tag, Word::Busy, "too many are in hand");
+            return;
+        }
         let place = match intake::place(&self.site, &call, self.now) {
             Ok(place) => place,
             Err(why) => return self.turn_down(connection, tag, Word::Failed, why),
--- a/crates/loomflow-server/src/table.rs
+++ b/crates/loomflow-server/src/table.rs
@@ -125,6 +125,10 @@
         self.entries.iter().filter(|(_, e)| over(e)).map(|(id, _)| *id).collect()
     }
 
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
     pub fn unanswered(&self) -> usize {
         self.unanswered
     }
--- a/crates/loomflow-server/tests/gateways.rs
+++ b/crates/loomflow-server/tests/gateways.rs
@@ -299,6 +299,31 @@
     serves(&world, &engine, 1);
 }
 
+#[test]
+fn requests_in_hand_are_bounded_by_the_memory() {
+    let mut world = World::new(site(LONG));
+    world.config["limits"]["memory_mb"] = 1.into();
+    world.start("exec \"$0\" serve");
+    let engine = world.engine.link();
+    engine.hello("ATTACH 0");
+    world.wait_for_service();
+    // 51 requests of 2.5 KB in an eighth of 1 MB.
+    let mut all = [world.gateway(), world.gateway()];
+    for gateway in &mut all {
+        for tag in 1..=32 {
+            gateway.call(tag, "read", &[7; 2048]);
+        }
+    }
+    let mut busy = 0;
+    for gateway in &mut all {
+        while let Ok(Some(answer)) = gateway.next(QUIET) {
+            assert_eq!(answer.word, "BUSY");
+            busy += 1;
+        }
+    }
+    assert_eq!(busy, 64 - 51);
+}
+
 #[test]
 fn half_the_descriptors_may_be_taken_at_once_and_each_costs_one() {
     let (world, engine) = World::serving(site(LONG));
--- a/crates/loomflow-server/tests/stand_ins/mod.rs
+++ b/crates/loomflow-server/tests/stand_ins/mod.rs
@@ -139,7 +139,7 @@
     }
 
     /// The module exists once a request is no longer turned away unseen.
-    fn wait_for_service(&self) {
+    pub fn wait_for_service(&self) {
         let mut gateway = self.gateway();
         gateway.send(&health(1, false));
         assert_eq!(gateway.answer().word, "UP");
