--- a/crates/loomflow-server/src/answer.rs
+++ b/crates/loomflow-server/src/answer.rs
@@ -97,6 +97,10 @@
         connection.open.iter().copied().collect()
     }
 
+    pub fn is_stopped(&self, id: ConnectionId) -> bool {
+        self.connections.get(&id).is_some_and(|connection| connection.stopped.is_some())
+    }
+
     /// Nobody waits for an answer to this tag.
     pub fn drop_tag(&mut self, id: ConnectionId, tag: u64) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
--- a/crates/loomflow-server/src/owner.rs
+++ b/crates/loomflow-server/src/owner.rs
@@ -326,7 +326,7 @@
     /// Settles what is open on a connection that ends: it has failed, where somebody may hear so, and its caller is
     /// gone in any case.
     fn connection_over(&mut self, connection: ConnectionId, ending: Ending) {
-        if let Ending::Malformed(why) = ending {
+        if let (Ending::Malformed(why), false) = (ending, self.gateways.is_stopped(connection)) {
             log!("a gateway's connection ends: {why}");
         }
         let open = self.gateways.stop(connection, ending, self.now.ms);
