The against measure alternates which program plays first in each turn

The first of two programs in a turn may pay for what the second then finds warm, so the order stood in the ratio. Turns now alternate who goes first, four quick and ten full.

--- a/crates/loomflow-measure/src/against.rs
+++ b/crates/loomflow-measure/src/against.rs
@@ -21,12 +21,13 @@
     let mut report = Report::new("against");
     let programs = [own, PathBuf::from(other)];
     let mut used = [Used::default(), Used::default()];
-    let (turns, seconds) = if quick { (3, 3) } else { (7, 6) };
-    for _ in 0..turns {
-        for (program, used) in programs.iter().zip(&mut used) {
-            let (cpu, memory) = play(program, Duration::from_secs(seconds));
-            used.cpu.push(cpu);
-            used.memory.push(memory);
+    let (turns, seconds) = if quick { (4, 3) } else { (10, 6) };
+    for turn in 0..turns {
+        // Who goes first changes, as the first may pay for what the second finds warm.
+        for at in [turn % 2, (turn + 1) % 2] {
+            let (cpu, memory) = play(&programs[at], Duration::from_secs(seconds));
+            used[at].cpu.push(cpu);
+            used[at].memory.push(memory);
         }
     }
     let middle = |values: &[f64]| {
