--- /dev/null
+++ b/crates/loomflow-server/tests/deploy.rs
@@ -0,0 +1,126 @@
+//! The server as the deploy file starts it: what the platform's bench allows is all that it does.
+//!
+//! The bench of the standing test runs `run` under a system-call filter of its own: the line must end by `exec` in one
+//! dynamically linked process, which listens only where its configuration says, keeps no Unix socket, starts no other
+//! program, and has no thread that neither waits nor ends. Every front beyond the gateways is off there, as no options
+//! file is named.
+
+use std::collections::HashSet;
+use std::thread;
+use std::time::Duration;
+
+use loomflow_standins::*;
+
+/// `run` of the deploy file, with the program's path in the place of the one that `build` leaves.
+fn run_line() -> String {
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/balancer.toml");
+    let text = std::fs::read_to_string(file).expect("the deploy file");
+    let deploy: toml::Table = text.parse().expect("the deploy file is TOML");
+    let run = deploy["run"].as_str().expect("run is a line");
+    assert!(run.starts_with("exec "), "run ends by exec: {run}");
+    assert!(run.contains("target/release/loomflow "), "run starts the server: {run}");
+    run.replacen("target/release/loomflow", "\"$0\"", 1)
+}
+
+/// Inodes of the sockets that a process holds.
+fn socket_inodes(pid: u32) -> HashSet<u64> {
+    let held = std::fs::read_dir(format!("/proc/{pid}/fd")).expect("its descriptors");
+    let inode = |one: std::io::Result<std::fs::DirEntry>| {
+        let to = std::fs::read_link(one.ok()?.path()).ok()?;
+        to.to_str()?.strip_prefix("socket:[")?.strip_suffix(']')?.parse().ok()
+    };
+    held.filter_map(inode).collect()
+}
+
+/// The rows of a table under `/proc/<pid>/net` whose inode the process holds: local address and state, as written.
+fn rows_held(pid: u32, table: &str, inodes: &HashSet<u64>) -> Vec<(String, String)> {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/net/{table}")).unwrap_or_default();
+    let row = |line: &str| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let inode: u64 = fields.get(9)?.parse().ok()?;
+        inodes.contains(&inode).then(|| (fields[1].to_string(), fields[3].to_string()))
+    };
+    text.lines().skip(1).filter_map(row).collect()
+}
+
+/// The Unix sockets that a process holds; their table has its inode in the seventh column.
+fn unix_held(pid: u32, inodes: &HashSet<u64>) -> usize {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/net/unix")).unwrap_or_default();
+    let inode = |line: &str| line.split_whitespace().nth(6)?.parse::<u64>().ok();
+    text.lines().skip(1).filter_map(inode).filter(|one| inodes.contains(one)).count()
+}
+
+/// An address as `/proc/net/tcp` writes it: the IPv4 address in the host's order, then the port, in hex.
+fn as_written(address: std::net::SocketAddr) -> String {
+    let std::net::SocketAddr::V4(v4) = address else { panic!("an IPv4 address") };
+    format!("{:08X}:{:04X}", u32::from_ne_bytes(v4.ip().octets()), v4.port())
+}
+
+/// Id and name of each thread of a process, with its state letter.
+fn thread_states(pid: u32) -> Vec<(String, char)> {
+    let tasks = std::fs::read_dir(format!("/proc/{pid}/task")).expect("its threads");
+    let state = |one: std::io::Result<std::fs::DirEntry>| {
+        let stat = std::fs::read_to_string(one.ok()?.path().join("stat")).ok()?;
+        // The name stands in brackets and may hold spaces; the state follows the last bracket.
+        let (id, rest) = stat.split_once(" (")?;
+        let (name, after) = rest.rsplit_once(") ")?;
+        Some((format!("{id} {name}"), after.chars().next()?))
+    };
+    tasks.filter_map(state).collect()
+}
+
+#[test]
+fn the_deploy_line_is_one_dynamically_linked_process_with_the_platforms_listener_only() {
+    let worker = Worker::start(1, Duration::from_millis(5));
+    let mut world = World::new(site(10_000.0));
+    world.config["engine"] = worker.address.to_string().into();
+    world.start(&run_line());
+    world.wait_for_service();
+    let pid = world.pid();
+    // `exec` left no shell between the bench and the server.
+    let exe = std::fs::read_link(format!("/proc/{pid}/exe")).expect("its program");
+    assert_eq!(exe.file_name(), world.program.file_name(), "{exe:?}");
+    let maps = std::fs::read_to_string(format!("/proc/{pid}/maps")).expect("its mappings");
+    assert!(maps.lines().any(|line| line.contains("/libc.so")), "linked against the C library");
+    let inodes = socket_inodes(pid);
+    let listening: Vec<String> = rows_held(pid, "tcp", &inodes)
+        .into_iter()
+        .filter(|(_, state)| state == "0A")
+        .map(|(local, _)| local)
+        .collect();
+    assert_eq!(listening, [as_written(world.listen)], "one listener, the configured one");
+    assert_eq!(rows_held(pid, "tcp6", &inodes), [], "no IPv6 sockets");
+    assert_eq!(rows_held(pid, "udp6", &inodes), [], "no IPv6 sockets");
+    assert_eq!(unix_held(pid, &inodes), 0, "no Unix sockets");
+    // Engine, ledger and control plane are the only links out; no AMQP link or other front.
+    let outward = rows_held(pid, "tcp", &inodes).into_iter().filter(|(_, state)| state != "0A").count();
+    assert!(outward <= 3, "{outward} links out: {:?}", rows_held(pid, "tcp", &inodes));
+}
+
+#[test]
+fn every_thread_of_an_idle_server_waits() {
+    let worker = Worker::start(1, Duration::from_millis(5));
+    let mut world = World::new(site(10_000.0));
+    world.config["engine"] = worker.address.to_string().into();
+    world.start(&run_line());
+    world.wait_for_service();
+    let pid = world.pid();
+    // A thread that spins is running at every look; one that waits is seen asleep now and then.
+    let mut waited: HashSet<String> = HashSet::new();
+    let mut seen: HashSet<String> = HashSet::new();
+    for _ in 0..200 {
+        for (thread, state) in thread_states(pid) {
+            if matches!(state, 'S' | 'D' | 'I' | 't' | 'T') {
+                waited.insert(thread.clone());
+            }
+            seen.insert(thread);
+        }
+        if !seen.is_empty() && seen.is_subset(&waited) {
+            break;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    let spinning: Vec<&String> = seen.difference(&waited).collect();
+    assert!(!seen.is_empty());
+    assert_eq!(spinning, Vec::<&String>::new(), "threads that never waited");
+}
