A signal pipe that cannot be read is logged, not left in silence

Need: the thread that reads the signal pipe ended without a word on a read error, and SIGTERM or SIGHUP would then go unheard with nothing in the log.

Change: crates/loomflow-server/src/signal.rs logs the error through the one rate-limited macro before the thread ends.

--- a/crates/loomflow-server/src/signal.rs
+++ b/crates/loomflow-server/src/signal.rs
@@ -46,7 +46,11 @@
                 // Several signals may have written a byte each; one read takes them, the flags say which came.
                 match self.wake.read(&mut bytes) {
                     Ok(0) => return,
-                    Err(e) if e.kind() != ErrorKind::Interrupted => return,
+                    Err(e) if e.kind() != ErrorKind::Interrupted => {
+                        let why = e.to_string();
+                        crate::log!(part = "signals", why, "signals are no longer heard");
+                        return;
+                    }
                     _ => {}
                 }
                 if self.reload.swap(false, Ordering::SeqCst) {
