The share keeps only whether it crossed; the deploy test starts once and reads once

Need: a reread of the change found state that could be derived and work done twice. SendShare kept an `overloaded` flag that always equalled `value < OVERLOADED`, and next_to_run read the flag instead of the value; the deploy test started its server in two copies of the same lines and read /proc/<pid>/net/tcp three times; two tests filtered the driver's log for told shares beside `Driver::told`, which did the same.

--- a/crates/loomflow-server/tests/deploy.rs
+++ b/crates/loomflow-server/tests/deploy.rs
@@ -69,13 +69,19 @@
     tasks.filter_map(state).collect()
 }
 
-#[test]
-fn the_deploy_line_is_one_dynamically_linked_process_with_the_platforms_listener_only() {
+/// A server started by the deploy line that serves, with the engine it works with.
+fn started() -> (World, Worker) {
     let worker = Worker::start(1, Duration::from_millis(5));
     let mut world = World::new(site(10_000.0));
     world.config["engine"] = worker.address.to_string().into();
     world.start(&run_line());
     world.wait_for_service();
+    (world, worker)
+}
+
+#[test]
+fn the_deploy_line_is_one_dynamically_linked_process_with_the_platforms_listener_only() {
+    let (world, _worker) = started();
     let pid = world.pid();
     // `exec` left no shell between the bench and the server.
     let exe = std::fs::read_link(format!("/proc/{pid}/exe")).expect("its program");
@@ -83,27 +89,20 @@
     let maps = std::fs::read_to_string(format!("/proc/{pid}/maps")).expect("its mappings");
     assert!(maps.lines().any(|line| line.contains("/libc.so")), "linked against the C library");
     let inodes = socket_inodes(pid);
-    let listening: Vec<String> = rows_held(pid, "tcp", &inodes)
-        .into_iter()
-        .filter(|(_, state)| state == "0A")
-        .map(|(local, _)| local)
-        .collect();
+    let (listening, outward): (Vec<_>, Vec<_>) =
+        rows_held(pid, "tcp", &inodes).into_iter().partition(|(_, state)| state == "0A");
+    let listening: Vec<String> = listening.into_iter().map(|(local, _)| local).collect();
     assert_eq!(listening, [as_written(world.listen)], "one listener, the configured one");
     assert_eq!(rows_held(pid, "tcp6", &inodes), [], "no IPv6 sockets");
     assert_eq!(rows_held(pid, "udp6", &inodes), [], "no IPv6 sockets");
     assert_eq!(unix_held(pid, &inodes), 0, "no Unix sockets");
     // Engine, ledger and control plane are the only links out; no AMQP link or other front.
-    let outward = rows_held(pid, "tcp", &inodes).into_iter().filter(|(_, state)| state != "0A").count();
-    assert!(outward <= 3, "{outward} links out: {:?}", rows_held(pid, "tcp", &inodes));
+    assert!(outward.len() <= 3, "{} links out: {outward:?}", outward.len());
 }
 
 #[test]
 fn every_thread_of_an_idle_server_waits() {
-    let worker = Worker::start(1, Duration::from_millis(5));
-    let mut world = World::new(site(10_000.0));
-    world.config["engine"] = worker.address.to_string().into();
-    world.start(&run_line());
-    world.wait_for_service();
+    let (world, _worker) = started();
     let pid = world.pid();
     // A thread that spins is running at every look; one that waits is seen asleep now and then.
     let mut waited: HashSet<String> = HashSet::new();
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -428,8 +428,7 @@
     error: f64,
     value: f64,
     told: f64,
-    /// Below `OVERLOADED`, and whether the last output crossed it.
-    overloaded: bool,
+    /// The last output crossed `OVERLOADED`.
     crossed: bool,
 }
 
@@ -466,9 +465,9 @@
         let moved = self.integral + error * dt;
         self.integral = moved.clamp(low.min(self.integral), high.max(self.integral));
         let wanted = (rest + KI * self.integral).clamp(self.value - STEP, self.value + STEP);
+        let was = self.value < OVERLOADED;
         self.value = wanted.clamp(SHARE_FLOOR, 1.0);
-        self.crossed = (self.value < OVERLOADED) != self.overloaded;
-        self.overloaded = self.value < OVERLOADED;
+        self.crossed = (self.value < OVERLOADED) != was;
         (self.error, self.sampled_at, self.hold_sum, self.finished) = (error, now, 0.0, 0.0);
         (self.unread_sum, self.reads) = (0.0, 0.0);
     }
@@ -621,7 +620,7 @@
     /// The most worth first; within that the nearest aim, or under overload the farthest.
     fn next_to_run(&self) -> Option<RequestId> {
         let &(level, _, first) = self.hold.first()?;
-        if !self.share.overloaded {
+        if self.share.value >= OVERLOADED {
             return Some(first);
         }
         self.hold.range(..(level + 1, i64::MIN, 0)).next_back().map(|k| k.2)
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -146,10 +146,15 @@
         all
     }
 
+    /// Every share told, in order.
+    pub fn shares_told(&self) -> Vec<f64> {
+        let tell = |(_, a): &(f64, Action)| if let Action::Tell(x) = a { Some(*x) } else { None };
+        self.log.iter().filter_map(tell).collect()
+    }
+
     /// The last share told, 1 where none was.
     pub fn told(&self) -> f64 {
-        let tell = |(_, a): &(f64, Action)| if let Action::Tell(x) = a { Some(*x) } else { None };
-        self.log.iter().rev().find_map(tell).unwrap_or(1.0)
+        self.shares_told().last().copied().unwrap_or(1.0)
     }
 
     pub fn started(&self) -> usize {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -27,8 +27,7 @@
 fn the_share_falls_in_capped_steps_to_its_floor_and_comes_back_to_one() {
     let mut d = Driver::new(settings());
     load(&mut d, 1, 200, 1500.0);
-    let said: Vec<f64> =
-        d.log.iter().filter_map(|(_, a)| if let Action::Tell(x) = a { Some(*x) } else { None }).collect();
+    let said = d.shares_told();
     assert!(said[0] < 1.0, "it fell at once: {said:?}");
     let mut last = 1.0;
     for x in &said {
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -68,8 +68,7 @@
         let core_use = busy.len() as f64 / CORES as f64;
         driver.gauges = Gauges { core_use: Some(core_use), on_cores: Some(on), ..IDLE };
     }
-    let told = driver.log.iter().filter_map(|(_, a)| if let Action::Tell(x) = a { Some(*x) } else { None });
-    (served, late, told.collect())
+    (served, late, driver.shares_told())
 }
 
 proptest! {
