After a pause of the machine the readers are waited for, not given two milliseconds

After a late wake the owner slept 2 ms (CATCH_UP in owner/mod.rs) and took whatever the readers' thread had put into the mailbox by then; on a busy machine that thread had not run yet, and a request whose result stood unread in the socket failed. Ruled out: the engine's answer (written before SIGCONT) and the order of the batch (inputs are taken before timers).

Change: after a late wake the owner asks the readers' thread for a sleep of its own and gathers input until that is over, 100 ms at most. The sleep begins after what the poller found readable, so the end of it says that it was read.

--- a/crates/loomflow-server/src/mailbox.rs
+++ b/crates/loomflow-server/src/mailbox.rs
@@ -24,6 +24,8 @@
     EngineEnded(LinkNumber, Ending),
     Reply(LinkNumber, Reply),
     LedgerEnded(LinkNumber, Ending, u64),
+    /// The readers have gone round once since they were asked to.
+    CaughtUp,
     Leave,
     /// The configuration was read again, or could not be.
     Reload(Result<Box<Config>, String>),
--- a/crates/loomflow-server/src/owner/mod.rs
+++ b/crates/loomflow-server/src/owner/mod.rs
@@ -34,7 +34,9 @@
 const GAUGES_AHEAD: f64 = 8.0;
 /// A wake that is so late follows a pause of the machine: what came meanwhile is read first, ms.
 const LATE: f64 = 20.0;
+/// The readers have this long for what a sleep of their own tells to be over, and at the most so long in all, ms.
 const CATCH_UP: f64 = 2.0;
+const LONGEST_CATCH_UP: f64 = 100.0;
 /// A deep check that the engine has not answered by then has failed, ms.
 const TEST_LIMIT: f64 = 1000.0;
 /// Longest sleep; idle connections and time limits are looked at as often, ms.
@@ -123,7 +125,10 @@
         let wake = owner.next_wake();
         let wait = (wake - clock.now().ms).max(0.0);
         let mut inputs = mailbox.take(Duration::from_micros((wait * 1000.0).ceil() as u64));
-        let more = gather_for(clock.now().ms, wake, owner.now.ms + owner.site.settings.tick);
+        if clock.now().ms - wake > LATE {
+            catch_up(&mailbox, &mut inputs, clock);
+        }
+        let more = owner.now.ms + owner.site.settings.tick - clock.now().ms;
         if more > 0.0 {
             std::thread::sleep(Duration::from_micros((more * 1000.0) as u64));
             inputs.extend(mailbox.take(Duration::ZERO));
@@ -133,11 +138,24 @@
     Ok(())
 }
 
-/// How long input is gathered before it is handed over, ms: until the stated time between batches has passed,
-/// and after a pause of the machine until what came meanwhile is read.
-fn gather_for(now: f64, wake: f64, next_batch: f64) -> f64 {
-    let catch_up = if now - wake > LATE { CATCH_UP } else { 0.0 };
-    (next_batch - now).max(catch_up)
+/// Waits until the readers have taken in what came during a pause of the machine. They share one thread, so a sleep
+/// that begins and ends there now does so after what stood unread: a fixed wait here would race with them.
+fn catch_up(mailbox: &Arc<Mailbox>, inputs: &mut Vec<Input>, clock: Clock) {
+    let until = clock.now().ms + LONGEST_CATCH_UP;
+    let readers = mailbox.clone();
+    may::go!(move || {
+        may::coroutine::sleep(Duration::from_micros((CATCH_UP * 1000.0) as u64));
+        readers.put(Input::CaughtUp);
+    });
+    loop {
+        let left = until - clock.now().ms;
+        let came = mailbox.take(Duration::from_micros((left.max(0.0) * 1000.0) as u64));
+        let over = left <= 0.0 || came.iter().any(|input| matches!(input, Input::CaughtUp));
+        inputs.extend(came);
+        if over {
+            return;
+        }
+    }
 }
 
 fn us(ms: f64) -> i64 {
@@ -264,6 +282,7 @@
                     self.call_ended(ended);
                 }
             }
+            Input::CaughtUp => {}
             Input::Leave => self.leave(),
             Input::Reload(Ok(config)) => self.reload(*config),
             Input::Reload(Err(why)) => log!(why, "told to read the configuration again, which stays"),
@@ -333,11 +352,22 @@
 mod tests {
     use super::*;
 
+    /// Readers that need longer than the fixed wait that once stood here, and one that is never done.
     #[test]
-    fn batches_keep_their_stated_distance_and_a_late_wake_reads_first() {
-        assert_eq!(gather_for(100.0, 150.0, 105.0), 5.0);
-        assert_eq!(gather_for(106.0, 106.0, 105.0), 0.0);
-        assert_eq!(gather_for(500.0, 150.0, 105.0), CATCH_UP);
-        assert_eq!(gather_for(500.0, 150.0, 504.0), 4.0);
+    fn after_a_pause_the_readers_are_waited_for_but_not_for_ever() {
+        may::config().set_workers(1);
+        let mailbox = Arc::new(Mailbox::default());
+        let slow = mailbox.clone();
+        may::go!(move || {
+            std::thread::sleep(Duration::from_millis(20));
+            slow.put(Input::Leave);
+        });
+        let mut inputs = Vec::new();
+        catch_up(&mailbox, &mut inputs, Clock::start());
+        assert!(matches!(inputs[..], [Input::Leave, Input::CaughtUp]), "{}", inputs.len());
+        may::go!(|| std::thread::sleep(Duration::from_secs(2)));
+        inputs.clear();
+        catch_up(&mailbox, &mut inputs, Clock::start());
+        assert!(inputs.is_empty());
     }
 }
