A queue's overload is tested without sockets, and its window gives back by eighths

Tests: consumer, module and engine in simulated time under generated bursts (tests/overload.rs); the window's third signal; stamps never read as older; a message whose time is over, by the server as a process.

--- a/crates/loomflow-amqp/src/window.rs
+++ b/crates/loomflow-amqp/src/window.rs
@@ -13,6 +13,8 @@
 
 /// Cut to this part; the module's running limit is cut alike.
 const CUT: f64 = 0.8;
+/// Part of its place that a message gives back, where messages say when they were sent and too much is held.
+const GIVEN_BACK: f64 = 0.125;
 /// Weight of the newest time in the smoothed ones.
 const NEWEST: f64 = 0.125;
 
@@ -86,9 +88,14 @@
         }
         self.stood += (seen.stood.unwrap_or(0.0) - self.stood) * NEWEST;
         // What stands at the broker has no order and no answer there: it is taken in, to be judged.
+        let too_much = seen.ended == Ended::Refused || self.waited > self.worked;
         if self.stood > self.worked {
             self.full += 1.0;
-        } else if seen.ended == Ended::Refused || self.waited > self.worked {
+        } else if too_much && seen.stood.is_some() {
+            // A cut by a factor would stop all intake until as much has ended, and let it stand at the broker meanwhile.
+            self.full = (self.full - GIVEN_BACK).max(1.0);
+            self.settled = true;
+        } else if too_much {
             if now >= self.next_cut {
                 self.full = (self.full * CUT).max(1.0);
                 self.settled = true;
@@ -212,6 +219,27 @@
         assert_eq!((window.wanted(1.0), window.wanted(0.05)), (1.0, 1.0));
     }
 
+    #[test]
+    fn what_stands_at_the_broker_is_taken_in_and_a_full_server_leaves_fresh_messages_to_others() {
+        let (mut window, _) = played(4, 10.0, 1_000);
+        let ends = |window: &mut Window, ended, stood, count: usize| {
+            let waited = (ended == Ended::Served).then_some(2.0);
+            let seen = Seen { ended, stood: Some(stood), waited, took: 12.0, limited: false };
+            (0..count).for_each(|at| window.answered(seen, 1e6 + at as f64));
+        };
+        // A second of them under twice the load: as many more in hand as ended, refused or not.
+        let before = window.wanted(1.0);
+        ends(&mut window, Ended::Served, 200.0, 20);
+        ends(&mut window, Ended::Refused, 200.0, 400);
+        assert!(window.wanted(1.0) >= before + 400.0 && window.stood() > 190.0);
+        // Nothing stands there any more: some are given back with each refusal, never all at once, down to one.
+        let large = window.wanted(1.0);
+        ends(&mut window, Ended::Refused, 0.0, 40);
+        assert!((0.9 * large..large + 40.0).contains(&window.wanted(1.0)));
+        ends(&mut window, Ended::Refused, 0.0, 9 * large as usize);
+        assert_eq!(window.wanted(1.0), 1.0);
+    }
+
     #[test]
     fn the_send_share_scales_it() {
         let (window, _) = played(16, 10.0, 2_000);
--- a/crates/loomflow-amqp/tests/model.rs
+++ b/crates/loomflow-amqp/tests/model.rs
@@ -2,10 +2,11 @@
 //! channels and connections, refusals, restarts and drains. Whatever happens, archive runs at most once, every message
 //! has an ending, and none is settled twice.
 
+mod common;
 use std::collections::{BTreeMap, VecDeque};
 
+use common::*;
 use loomflow_amqp::identity::Forgotten;
-use loomflow_amqp::settings::Password;
 use loomflow_amqp::*;
 use loomflow_standins::broker::state::State;
 use loomflow_standins::broker::{Message, Settled, message};
@@ -13,38 +14,6 @@
 
 const GRACE: f64 = 1_000.0;
 
-fn settings(effect: bool) -> Settings {
-    Settings {
-        brokers: vec![([127, 0, 0, 1], 1).into()],
-        vhost: "/".into(),
-        user: "guest".into(),
-        password: Password("guest".into()),
-        heartbeat: 0,
-        most_body: 1_000,
-        remember: 1e9,
-        // Little, so that keys of which only a hash is left take part.
-        room: identity::Room { records: 8, replies: 10, hashes: 10_000 },
-        most_in_hand: 20,
-        most_unconfirmed: 8,
-        rounds: 3,
-        dead_letter: Some(Target { exchange: String::new(), routing_key: "dead".into() }),
-        results: None,
-        queues: vec![Queue {
-            name: "jobs".into(),
-            class: NameFrom::Fixed("archive".into()),
-            tenant: None,
-            key: KeyFrom::MessageId,
-            sent: None,
-            work: None,
-            kb: 1.0,
-            rank: 0.0,
-            worth: 1.0,
-        }],
-        classes: vec![Class { name: "archive".into(), effect, give_up: 20_000.0 }],
-        tenants: Vec::new(),
-    }
-}
-
 /// One server: its consumer, its side of the connection, and an owner that does as it is told.
 struct Server {
     consumer: Consumer,
@@ -73,25 +42,6 @@
     broken: usize,
 }
 
-fn decode(bytes: &mut VecDeque<u8>) -> Vec<Frame> {
-    use loomflow_protocol::Decoder;
-    let mut frames = frames::Frames::default();
-    let mut whole = Vec::new();
-    let flat: Vec<u8> = bytes.iter().copied().collect();
-    let flat = match flat.strip_prefix(b"AMQP\0\0\x09\x01") {
-        Some(rest) => rest.to_vec(),
-        None => flat,
-    };
-    bytes.clear();
-    for part in flat.chunks(4_096) {
-        assert!(frames.buffer().feed(part));
-        while let Some(raw) = frames.next().expect("frames") {
-            whole.extend(raw.iter().map(|frame| frame.expect("a frame")));
-        }
-    }
-    whole
-}
-
 impl Day {
     fn new(servers: usize, effect: bool) -> Day {
         let mut broker = State::default();
--- /dev/null
+++ b/crates/loomflow-amqp/tests/overload.rs
@@ -0,0 +1,226 @@
+//! A consumer, the decision module and an engine, without sockets: a queue is asked for more than the engine does.
+//! Messages say when they were sent, so the module orders and refuses them as it does calls, and nothing is run late.
+
+mod common;
+use std::collections::{BTreeMap, VecDeque};
+
+use common::*;
+use loomflow::choice::Choice;
+use loomflow::interface::{Action, Arrival, Event, Gauges, Outcome, RequestId};
+use loomflow_amqp::identity::Forgotten;
+use loomflow_amqp::*;
+use loomflow_settings::{Node, Site};
+use loomflow_standins::broker::message;
+use loomflow_standins::broker::state::State;
+use proptest::prelude::*;
+
+const CORES: usize = 4;
+const WORK: f64 = 10.0;
+/// Messages a second that the engine does.
+const SPEED: f64 = CORES as f64 * 1000.0 / WORK;
+const GIVE_UP: f64 = 1_000.0;
+const LINK: u64 = 1;
+/// Time between batches, ms.
+const STEP: f64 = 5.0;
+
+struct Day {
+    now: f64,
+    broker: State,
+    consumer: Consumer,
+    choice: Choice,
+    /// Deliveries by the module's names.
+    held: BTreeMap<RequestId, Offer>,
+    last: RequestId,
+    waiting: VecDeque<RequestId>,
+    /// When each core is free, and what runs there.
+    cores: Vec<(f64, Option<RequestId>)>,
+    wakes: Vec<f64>,
+    sent: Vec<f64>,
+    /// How each message ended, and when.
+    ends: BTreeMap<usize, (bool, f64)>,
+    run_late: usize,
+}
+
+impl Day {
+    fn new() -> Day {
+        let site = loomflow_standins::site(GIVE_UP);
+        let site = Site::read(&Node::new("", &site).unwrap()).unwrap();
+        let mut amqp = settings(true);
+        (amqp.most_in_hand, amqp.most_unconfirmed) = (4_000, 256);
+        amqp.room = identity::Room { records: 10_000, replies: 1_000_000, hashes: 10_000 };
+        amqp.classes[0].give_up = GIVE_UP;
+        amqp.queues[0].sent = Some(SentFrom::Header("sent".into()));
+        let mut consumer = Consumer::new(amqp, Box::new(Forgotten), 7);
+        consumer.open();
+        consumer.connected(0.0);
+        let mut broker = State::default();
+        ["jobs", "dead", "replies"].into_iter().for_each(|queue| broker.declare(queue, None));
+        broker.opened(LINK);
+        let mut set = site.settings.clone();
+        set.classes.iter_mut().for_each(|class| class.calls = false);
+        Day {
+            now: 0.0,
+            broker,
+            consumer,
+            choice: Choice::new(set, 7, 0.0),
+            held: BTreeMap::new(),
+            last: 0,
+            waiting: VecDeque::new(),
+            cores: vec![(0.0, None); CORES],
+            wakes: Vec::new(),
+            sent: Vec::new(),
+            ends: BTreeMap::new(),
+            run_late: 0,
+        }
+    }
+
+    fn publish(&mut self) {
+        let id = self.sent.len().to_string();
+        let sent = (self.now as i64).to_string();
+        self.sent.push(self.now);
+        let mut message = message("jobs", &id, id.as_bytes()).reply_to("replies", &id);
+        message = message.stamped("sent", sent.parse().unwrap());
+        assert!(self.broker.publish(message));
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        let now = self.now;
+        let mut events = Vec::new();
+        for at in 0..self.cores.len() {
+            let (ends, run) = self.cores[at];
+            if let Some(id) = run.filter(|_| ends <= now) {
+                let offer = self.held.remove(&id).expect("it was offered");
+                self.consumer.answer(offer.id, Ending::Served(&offer.body), now);
+                events.push(Event::RunEnded { id, outcome: Outcome::Ok, took: WORK });
+                self.cores[at] = (ends, None);
+            }
+        }
+        self.wire();
+        for ask in self.consumer.take_asks() {
+            let Ask::Take(offer) = ask else { continue };
+            self.last += 1;
+            events.push(Event::Arrived(Arrival {
+                id: self.last,
+                class: 2,
+                tenant: 0,
+                wait_left: GIVE_UP - offer.spent,
+                work: Some(WORK),
+                kb: 1.0,
+                rank: 0.5,
+                retry: false,
+                caller: 0,
+                age: 0.0,
+                spent: offer.spent,
+                repeats: None,
+            }));
+            self.held.insert(self.last, offer);
+        }
+        if self.wakes.iter().any(|at| *at <= now) {
+            self.wakes.retain(|at| *at > now);
+            let busy = self.cores.iter().filter(|core| core.1.is_some()).count() as f64;
+            let on = busy + self.waiting.len() as f64;
+            let gauges =
+                Gauges { core_use: Some(busy / CORES as f64), on_cores: Some(on), ..Gauges::default() };
+            events.push(Event::TimerFired(gauges));
+        }
+        let mut actions = Vec::new();
+        events.into_iter().for_each(|event| self.choice.event(now, event, &mut actions));
+        self.choice.decide(now, &mut actions);
+        actions.into_iter().for_each(|action| self.carry_out(action));
+        for core in self.cores.iter_mut().filter(|core| core.1.is_none()) {
+            if let Some(id) = self.waiting.pop_front() {
+                // What it could have begun within the step it has.
+                *core = (core.0.max(now - STEP) + WORK, Some(id));
+            }
+        }
+        self.wire();
+        for reply in self.broker.take("replies") {
+            let number: usize = reply.correlation().parse().unwrap();
+            assert_ne!(reply.kind(), "refused", "whoever gives up in a second is not asked to wait");
+            let before = self.ends.insert(number, (reply.kind() == "served", now));
+            assert!(before.is_none(), "one final answer");
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        let now = self.now;
+        match action {
+            Action::Run(id) => {
+                let offer = &self.held[&id];
+                self.consumer.began(offer.id, now);
+                let number: usize = String::from_utf8(offer.body.clone()).unwrap().parse().unwrap();
+                self.run_late += usize::from(now - self.sent[number] > GIVE_UP);
+                self.waiting.push_back(id);
+            }
+            Action::Refuse { id, pause, last } => {
+                let offer = self.held.remove(&id).expect("it was offered");
+                self.consumer.answer(offer.id, Ending::Refused { pause, last }, now);
+            }
+            Action::Fail(id) => {
+                // One that runs is told of when it ends.
+                if let Some(offer) = self.held.get(&id).filter(|_| !self.waiting.contains(&id)) {
+                    self.consumer.answer(offer.id, Ending::MayHaveRun, now);
+                }
+            }
+            Action::Tell(share) => self.consumer.tell(share),
+            Action::WakeAt(at) => self.wakes.push(at),
+            _ => {}
+        }
+    }
+
+    /// Whatever either side has to say, until neither has.
+    fn wire(&mut self) {
+        loop {
+            self.consumer.tick(self.now).expect("the connection goes on");
+            let mut bytes: VecDeque<u8> = self.consumer.take_out(self.now).into();
+            decode(&mut bytes).into_iter().for_each(|frame| self.broker.frame(LINK, frame));
+            let out = self.broker.take_out();
+            if out.is_empty() {
+                return;
+            }
+            for (_, frame) in out {
+                self.consumer.frame(frame.expect("the broker goes on"), self.now).expect("a frame");
+            }
+        }
+    }
+
+    /// In time of those sent in each second, over what the engine does.
+    fn in_time(&self, second: usize) -> f64 {
+        let of = |at: f64| (at / 1_000.0) as usize == second;
+        let ended = self.ends.iter().filter(|(number, _)| of(self.sent[**number]));
+        let in_time =
+            ended.filter(|(number, (served, at))| *served && at - self.sent[**number] <= GIVE_UP / 2.0);
+        in_time.count() as f64 / SPEED
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 8, ..ProptestConfig::default() })]
+
+    #[test]
+    fn a_burst_on_a_queue_is_served_in_time_and_its_backlog_goes_with_it(
+        before in 0.3f64..0.8, times in 1.2f64..4.0, spread in 0.0f64..1.0, seed in any::<u64>(),
+    ) {
+        let (mut day, mut random) = (Day::new(), fastrand::Rng::with_seed(seed));
+        let mut due = 0.0;
+        while day.now < 8_000.0 {
+            while due <= day.now {
+                day.publish();
+                let rate = if (2_000.0..6_000.0).contains(&due) { times } else { before } * SPEED;
+                // From one at a time to as they come.
+                due += 1_000.0 / rate * (1.0 + spread * (random.f64() * 2.0 - 1.0));
+            }
+            day.step();
+        }
+        (0..300).for_each(|_| day.step());
+        prop_assert_eq!(day.ends.len(), day.sent.len(), "each has its ending");
+        prop_assert_eq!(day.run_late, 0);
+        for second in 3..6 {
+            prop_assert!(day.in_time(second) >= 0.9, "second {}: {:.2}", second, day.in_time(second));
+        }
+        let gone = day.ends.iter().filter(|(number, _)| day.sent[**number] < 6_000.0).map(|(_, (_, at))| *at);
+        prop_assert!(gone.fold(0.0, f64::max) <= 7_000.0);
+        prop_assert!(day.in_time(7) * SPEED >= day.sent.iter().filter(|at| **at >= 7_000.0 && **at < 8_000.0).count() as f64 - 1.0);
+    }
+}
--- a/crates/loomflow-load/src/queue.rs
+++ b/crates/loomflow-load/src/queue.rs
@@ -10,6 +10,8 @@
 
 use crate::{Aside, Ending, Heard, Plan};
 
+/// A queue that has not been worked off by then is left as it is, and what stands in it is lost.
+const DRAINS: Duration = Duration::from_secs(60);
 /// Between two looks at the replies.
 const LOOK: Duration = Duration::from_millis(5);
 
@@ -23,8 +25,8 @@
     )
 }
 
-/// Publishes what the plan says to `jobs`. What waits at the broker at the end is neither refused nor lost: it is waited
-/// for.
+/// Publishes what the plan says to `jobs`. What stands at the broker at the end is neither refused nor lost: it is waited
+/// for, within a bound.
 pub fn play(broker: &Broker, plan: &Plan) -> Heard {
     let start = Instant::now();
     let replies = {
@@ -56,7 +58,11 @@
         number += 1;
         due += 1.0 / plan.rate(due).max(0.1);
     }
-    broker.drained("jobs");
+    let until = Instant::now() + DRAINS;
+    let left = || broker.with_state(|state| state.ready("jobs") + state.unacked("jobs"));
+    while left() > 0 && Instant::now() < until {
+        thread::sleep(LOOK);
+    }
     // The last replies are on their way to whoever listens.
     thread::sleep(Duration::from_millis(200));
     ends(&mut heard, &replies.stop());
--- a/crates/loomflow-server/tests/amqp.rs
+++ b/crates/loomflow-server/tests/amqp.rs
@@ -82,6 +82,26 @@
     assert_eq!(worker.count(), 2);
 }
 
+#[test]
+fn a_message_whose_time_is_over_is_ended_at_once_and_never_run() {
+    let (broker, worker) = (Broker::with_jobs(), Worker::start(4, WORK));
+    let options = options(&[&broker], "").replace("acme}", "acme, sent_from: timestamp_in_ms}");
+    let _world = World::working(site(LONG), &options, &worker);
+    broker.publish(job(1).stamped("timestamp_in_ms", 1));
+    let reply = &broker.wait("replies", 1)[0];
+    let said = ["x-loomflow-reason", "x-loomflow-ran"].map(|name| reply.says(name).unwrap_or_default());
+    assert_eq!((reply.kind().as_str(), said), ("failed", ["out-of-time", "no"].map(str::to_owned)));
+    assert!(reply.says("x-loomflow-holdoff").is_some());
+    assert_eq!(broker.wait("dead", 1)[0].says("x-loomflow-reason").as_deref(), Some("out-of-time"));
+    // One that was sent just now, one of a clock that is ahead, and one that says nothing are run.
+    broker.publish(job(2).sent_now());
+    broker.publish(job(3).stamped("timestamp_in_ms", i64::MAX));
+    broker.publish(job(4));
+    assert!(broker.wait("replies", 3).iter().all(|reply| reply.kind() == "served"));
+    broker.drained("jobs");
+    assert_eq!(worker.count(), 3);
+}
+
 #[test]
 fn the_channel_closes_between_publish_and_confirm() {
     let (broker, worker, _world) = started();
--- a/crates/loomflow-standins/src/broker/mod.rs
+++ b/crates/loomflow-standins/src/broker/mod.rs
@@ -62,18 +62,24 @@
     }
 
     /// The same with one more header.
-    pub fn header(mut self, name: &str, value: &str) -> Message {
-        let mut headers = self.properties.headers().clone().unwrap_or_default();
-        headers.insert(name.into(), AMQPValue::LongString(value.into()));
-        self.properties = self.properties.with_headers(headers);
-        self
+    pub fn header(self, name: &str, value: &str) -> Message {
+        self.with(name, AMQPValue::LongString(value.into()))
     }
 
     /// The same, stamped with the time as some brokers stamp what comes in (ms, header `timestamp_in_ms`).
-    pub fn sent_now(mut self) -> Message {
+    pub fn sent_now(self) -> Message {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        self.stamped("timestamp_in_ms", unix.as_millis() as i64)
+    }
+
+    /// The same with a header that is a number.
+    pub fn stamped(self, name: &str, value: i64) -> Message {
+        self.with(name, AMQPValue::LongLongInt(value))
+    }
+
+    fn with(mut self, name: &str, value: AMQPValue) -> Message {
         let mut headers = self.properties.headers().clone().unwrap_or_default();
-        headers.insert("timestamp_in_ms".into(), AMQPValue::LongLongInt(unix.as_millis() as i64));
+        headers.insert(name.into(), value);
         self.properties = self.properties.with_headers(headers);
         self
     }
