What a caller has waited before has a test of its own in the module

Need: the mutation that leaves Arrival::spent out of the end of a request survived all tests. The new test fails without it in aim and end, and when it is counted as unread delay.

--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -122,6 +122,27 @@
     assert_eq!(running, 4, "the cores are the floor");
 }
 
+#[test]
+fn what_its_caller_has_waited_before_counts_against_aim_and_end_and_not_as_delay_of_this_server() {
+    let mut d = Driver::new(settings());
+    let spent = |id, class, spent| Event::Arrived(Arrival { spent, ..arrival(id, class) });
+    // Four run, one with 6,500 ms left of its 8,000; what is held has 100 ms left of its aim of 2,000.
+    let mut first: Vec<Event> = (1..=3).map(|id| Event::Arrived(arrival(id, UNSAFE))).collect();
+    first.push(spent(4, UNSAFE, 1_500.0));
+    assert_eq!(runs(&d.batch(first)).len(), 4);
+    assert!(!answered(&d.one(spent(5, UNSAFE, 1_900.0)), 5));
+    assert!(answered(&d.pass(150.0), 5));
+    assert!(!answered(&d.pass(6_200.0), 4) && answered(&d.pass(140.0), 4));
+    // Nothing is left of its time, and nothing of its aim.
+    assert!(refused(&d.one(spent(6, SAFE, 7_990.0)), 6));
+    d.one(spent(7, SAFE, 2_000.0));
+    assert!(refused(&d.pass(60.0), 7));
+    d.batch((8..60).map(|id| spent(id, SAFE, 1_990.0)).collect());
+    (1..=3).for_each(|id| drop(d.finish(id, 60.0)));
+    d.pass(300.0);
+    assert_eq!(d.told(), 1.0);
+}
+
 #[test]
 fn time_at_calls_is_not_run_latency() {
     let mut d = Driver::new(settings());
