--- /dev/null
+++ b/crates/loomflow-fleet/src/agreement/log.rs
@@ -0,0 +1,111 @@
+//! The log as the Raft library reads it: in memory, with the last snapshot and what it holds beside it.
+
+use raft::eraftpb::{ConfState, Entry, HardState, Snapshot};
+use raft::storage::MemStorage;
+use raft::{GetEntriesContext, RaftState, Result, Storage, StorageError};
+
+/// Entries that stay in memory behind a snapshot, so that a voter that is a little late needs none.
+const TAIL: u64 = 256;
+
+/// The library's own log in memory, but for snapshots: those it makes hold no state.
+pub struct Log {
+    entries: MemStorage,
+    snapshot: Snapshot,
+}
+
+impl Log {
+    /// A log that begins behind a snapshot; an empty one where that is the default.
+    pub fn new(snapshot: Snapshot, hard: Option<HardState>, entries: &[Entry]) -> Result<Log> {
+        let log = Log { entries: MemStorage::new(), snapshot: snapshot.clone() };
+        {
+            let mut core = log.entries.wl();
+            if snapshot.get_metadata().index > 0 {
+                core.apply_snapshot(snapshot)?;
+            }
+            core.append(entries)?;
+            if let Some(hard) = hard {
+                core.set_hardstate(hard);
+            }
+        }
+        Ok(log)
+    }
+
+    pub fn append(&mut self, entries: &[Entry]) -> Result<()> {
+        self.entries.wl().append(entries)
+    }
+
+    pub fn set_hard(&mut self, hard: HardState) {
+        self.entries.wl().set_hardstate(hard);
+    }
+
+    pub fn set_commit(&mut self, commit: u64) {
+        self.entries.wl().mut_hard_state().commit = commit;
+    }
+
+    pub fn set_conf(&mut self, conf: ConfState) {
+        self.entries.wl().set_conf_state(conf);
+    }
+
+    pub fn conf(&self) -> ConfState {
+        self.entries.initial_state().map(|state| state.conf_state).unwrap_or_default()
+    }
+
+    /// A snapshot that came from a leader.
+    pub fn take_over(&mut self, snapshot: Snapshot) -> Result<()> {
+        self.entries.wl().apply_snapshot(snapshot.clone())?;
+        self.snapshot = snapshot;
+        Ok(())
+    }
+
+    /// A snapshot of our own, of what is applied; what is far behind it leaves the memory.
+    pub fn keep(&mut self, snapshot: Snapshot) -> Result<()> {
+        let index = snapshot.get_metadata().index;
+        self.snapshot = snapshot;
+        self.entries.wl().compact(index.saturating_sub(TAIL))
+    }
+
+    pub fn snapshot_index(&self) -> u64 {
+        self.snapshot.get_metadata().index
+    }
+}
+
+impl Storage for Log {
+    fn initial_state(&self) -> Result<RaftState> {
+        self.entries.initial_state()
+    }
+
+    fn entries(
+        &self,
+        low: u64,
+        high: u64,
+        max_size: impl Into<Option<u64>>,
+        context: GetEntriesContext,
+    ) -> Result<Vec<Entry>> {
+        self.entries.entries(low, high, max_size, context)
+    }
+
+    fn term(&self, index: u64) -> Result<u64> {
+        let meta = self.snapshot.get_metadata();
+        if index == meta.index && index > 0 { Ok(meta.term) } else { self.entries.term(index) }
+    }
+
+    fn first_index(&self) -> Result<u64> {
+        self.entries.first_index()
+    }
+
+    fn last_index(&self) -> Result<u64> {
+        self.entries.last_index()
+    }
+
+    /// The last one kept. Not yet there where it is older than asked for, or where its configuration does not know the
+    /// one it is for, which would not take it.
+    fn snapshot(&self, request_index: u64, to: u64) -> Result<Snapshot> {
+        let meta = self.snapshot.get_metadata();
+        let conf = meta.get_conf_state();
+        let mut seats = conf.get_voters().iter().chain(conf.get_learners());
+        if meta.index < request_index || !seats.any(|id| *id == to) {
+            return Err(raft::Error::Store(StorageError::SnapshotTemporarilyUnavailable));
+        }
+        Ok(self.snapshot.clone())
+    }
+}
