--- a/crates/loomflow-fleet/src/lib.rs
+++ b/crates/loomflow-fleet/src/lib.rs
@@ -4,11 +4,15 @@
 //! From the bottom up:
 //!
 //! - [`member`]: who a server is, and the digest of its load.
+//! - [`wire`]: the one envelope that members exchange, and its bounds.
 //! - [`membership`]: who is here (SWIM, by `foca`).
 //! - [`agreement`]: a replicated log among a few voters (Raft, by `raft`).
+//! - [`order`]: the state machine applied from that log: tickets for work, whose turn it is, how many, and whether at all.
 //!
 //! Times are milliseconds on a clock that only moves forward and does not stop while the machine sleeps (boot time).
 
 pub mod agreement;
 pub mod member;
 pub mod membership;
+pub mod order;
+pub mod wire;
--- /dev/null
+++ b/crates/loomflow-fleet/src/order/headroom.rs
@@ -0,0 +1,189 @@
+//! Whether those who stay bear what the fleet carries: judged from digests, by the figures that the decision modules
+//! themselves go by.
+//!
+//! What a server **carries** is its runs in hand, times how far the hold time is over its aim where it is: what is held
+//! longer than aimed at waits for runs that cannot begin. What it **bears** is its running limit, which rises only on runs
+//! that ended well and is cut when they do not, times the share that it asks for: a server that wants half of its usual
+//! traffic bears half. A fleet bears a departure when those who stay carry at most [`FILL`] of what they bear, with the
+//! most that was carried in the last [`BURST`], and none of this rests on old digests.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use crate::member::{Digest, Ms, Name, Standing, Zone};
+
+/// How full those who stay may be.
+pub const FILL: f64 = 0.85;
+/// The most that was carried within so long counts as carried now, ms.
+pub const BURST: Ms = 5 * 60 * 1000;
+/// Its grain, ms.
+const GRAIN: Ms = 10_000;
+/// A zone that carries so much of the most it carried of late is in its busiest moment.
+const BUSY: f64 = 0.9;
+
+/// What the leader sees of a member; its own row among them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Seen {
+    pub zone: Zone,
+    /// By the membership and its own word, tickets aside.
+    pub standing: Standing,
+    pub incarnation: u64,
+    /// None where the last one is too old to be evidence.
+    pub digest: Option<Digest>,
+}
+
+impl Seen {
+    /// Whether it takes its part of the load.
+    pub fn serves(&self) -> bool {
+        self.standing == Standing::Serving && self.digest.is_some()
+    }
+}
+
+pub fn carries(digest: &Digest) -> f64 {
+    f64::from(digest.running) * f64::from(digest.over_aim).max(1.0)
+}
+
+pub fn bears(digest: &Digest) -> f64 {
+    f64::from(digest.limit) * f64::from(digest.share)
+}
+
+/// What was carried of late: the most in each grain of the last [`BURST`].
+#[derive(Clone, Debug, Default)]
+pub struct Headroom {
+    grains: VecDeque<(Ms, BTreeMap<Zone, f64>, f64)>,
+}
+
+/// The estimate with its figures, in runs at once.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Estimate {
+    /// Carried now, and the most of late.
+    pub now: f64,
+    pub most: f64,
+    /// What those who would stay bear.
+    pub stay: f64,
+}
+
+impl Estimate {
+    /// How full those who stay would be.
+    pub fn fill(&self) -> f64 {
+        self.now.max(self.most) / self.stay.max(f64::MIN_POSITIVE)
+    }
+
+    pub fn holds(&self) -> bool {
+        self.now.max(self.most) <= FILL * self.stay
+    }
+}
+
+impl Headroom {
+    /// Takes in what is seen now. To be called every second or so, on every voter: a new leader has seen it too.
+    pub fn observe(&mut self, now: Ms, members: &BTreeMap<Name, Seen>) {
+        let mut zones: BTreeMap<Zone, f64> = BTreeMap::new();
+        for seen in members.values() {
+            if let Some(digest) = &seen.digest {
+                *zones.entry(seen.zone.clone()).or_default() += carries(digest);
+            }
+        }
+        let all = zones.values().sum::<f64>();
+        match self.grains.back_mut() {
+            Some((from, most, total)) if now < *from + GRAIN => {
+                for (zone, carried) in zones {
+                    let most = most.entry(zone).or_default();
+                    *most = most.max(carried);
+                }
+                *total = total.max(all);
+            }
+            _ => self.grains.push_back((now, zones, all)),
+        }
+        while self.grains.front().is_some_and(|(from, ..)| from + BURST < now) {
+            self.grains.pop_front();
+        }
+    }
+
+    /// What those of `members` for whom `stays` holds would bear, against what all carry.
+    pub fn estimate(&self, members: &BTreeMap<Name, Seen>, stays: &dyn Fn(&str) -> bool) -> Estimate {
+        let digests = || members.iter().filter_map(|(name, seen)| Some((name, seen, seen.digest?)));
+        Estimate {
+            now: digests().map(|(_, _, digest)| carries(&digest)).sum(),
+            most: self.grains.iter().map(|(_, _, all)| *all).fold(0.0, f64::max),
+            stay: digests()
+                .filter(|(name, seen, _)| seen.serves() && stays(name))
+                .map(|(_, _, digest)| bears(&digest))
+                .sum(),
+        }
+    }
+
+    /// Whether a zone is in its busiest moment of late.
+    pub fn is_busy(&self, zone: &str, members: &BTreeMap<Name, Seen>) -> bool {
+        let here = members.values().filter(|seen| seen.zone == zone).filter_map(|seen| seen.digest);
+        let now: f64 = here.map(|digest| carries(&digest)).sum();
+        let of = |most: &BTreeMap<Zone, f64>| most.get(zone).copied().unwrap_or(0.0);
+        let (least, most) =
+            self.grains.iter().fold((f64::INFINITY, 0.0_f64), |(least, most), (_, zones, _)| {
+                (least.min(of(zones)), most.max(of(zones)))
+            });
+        // Where it hardly moves there is no busiest moment.
+        most > 0.0 && now >= BUSY * most && least < BUSY * most
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn fleet(count: usize, running: f32, share: f32, over_aim: f32) -> BTreeMap<Name, Seen> {
+        let digest = Digest { share, over_aim, limit: 8.0, running, cores: 8.0, ..Digest::default() };
+        let seen =
+            Seen { zone: "a".into(), standing: Standing::Serving, incarnation: 1, digest: Some(digest) };
+        (0..count).map(|n| (format!("n{n}"), seen.clone())).collect()
+    }
+
+    fn holds(members: &BTreeMap<Name, Seen>, headroom: &Headroom, without: usize) -> bool {
+        let gone: Vec<Name> = (0..without).map(|n| format!("n{n}")).collect();
+        headroom.estimate(members, &|name| !gone.iter().any(|g| g == name)).holds()
+    }
+
+    #[test]
+    fn at_seven_tenths_one_of_nine_may_go_and_a_third_may_not() {
+        let (members, headroom) = (fleet(9, 5.6, 1.0, 0.8), Headroom::default());
+        assert!(holds(&members, &headroom, 1));
+        assert!(!holds(&members, &headroom, 3));
+    }
+
+    #[test]
+    fn a_share_below_one_or_holds_over_the_aim_leave_no_room() {
+        let headroom = Headroom::default();
+        assert!(!holds(&fleet(9, 5.6, 0.7, 0.8), &headroom, 1));
+        assert!(!holds(&fleet(9, 5.6, 1.0, 1.5), &headroom, 1));
+    }
+
+    #[test]
+    fn a_burst_of_the_last_minutes_counts_and_is_forgotten() {
+        let (mut headroom, calm) = (Headroom::default(), fleet(9, 3.0, 1.0, 0.5));
+        headroom.observe(0, &fleet(9, 8.0, 1.0, 0.9));
+        headroom.observe(GRAIN, &calm);
+        assert!(!holds(&calm, &headroom, 1));
+        headroom.observe(BURST + GRAIN + 1, &calm);
+        assert!(holds(&calm, &headroom, 1));
+        assert!(headroom.grains.len() <= (BURST / GRAIN + 2) as usize);
+    }
+
+    #[test]
+    fn whoever_has_no_young_digest_bears_nothing() {
+        let mut members = fleet(3, 4.0, 1.0, 0.5);
+        assert!(holds(&members, &Headroom::default(), 1));
+        members.get_mut("n2").unwrap().digest = None;
+        assert!(!holds(&members, &Headroom::default(), 1) || FILL > 1.0);
+    }
+
+    #[test]
+    fn a_zone_is_busy_near_its_most_where_it_moves_at_all() {
+        let (mut headroom, calm, full) =
+            (Headroom::default(), fleet(3, 2.0, 1.0, 0.5), fleet(3, 7.0, 1.0, 0.5));
+        headroom.observe(0, &calm);
+        assert!(!headroom.is_busy("a", &calm));
+        headroom.observe(GRAIN, &full);
+        assert!(headroom.is_busy("a", &full) && !headroom.is_busy("a", &calm));
+        assert!(!headroom.is_busy("b", &full));
+    }
+}
