A member of the fleet, and a fleet in virtual time with a witness

Need: the pieces must work together under loss, delay and death before they meet a socket.

Node puts membership, agreement and order together: requests find the leader by any voter and are done once, a server leaves only on a begin that it freshly knows to be agreed on, the leader decides one thing after the other. The simulation runs the same code on a network of its own, with a witness that counts who is out, looks for the begin of each leave, and compares leaders by term and states by place in the log.

--- a/crates/loomflow-fleet/src/lib.rs
+++ b/crates/loomflow-fleet/src/lib.rs
@@ -8,11 +8,13 @@
 //! - [`membership`]: who is here (SWIM, by `foca`).
 //! - [`agreement`]: a replicated log among a few voters (Raft, by `raft`).
 //! - [`order`]: the state machine applied from that log: tickets for work, whose turn it is, how many, and whether at all.
+//! - [`node`]: one member, made of all of these.
 //!
 //! Times are milliseconds on a clock that only moves forward and does not stop while the machine sleeps (boot time).
 
 pub mod agreement;
 pub mod member;
 pub mod membership;
+pub mod node;
 pub mod order;
 pub mod wire;
--- /dev/null
+++ b/crates/loomflow-simulation/src/world.rs
@@ -0,0 +1,487 @@
+//! The machines and the network between them.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, BinaryHeap};
+use std::sync::{Arc, Mutex};
+
+use loomflow_fleet::agreement::disk::{Disk, Image, MemoryDisk, Write};
+use loomflow_fleet::member::{Digest, Ms, Phase, RequestId};
+use loomflow_fleet::node::{Effect, Node, Setup};
+use loomflow_fleet::order::rules::Rules;
+use loomflow_fleet::order::ticket::{Move, Stage, TicketId, Wanted};
+use loomflow_fleet::order::{Answer, Ask, By, Command};
+use loomflow_fleet::wire::HEAD;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::script::{Fault, Script};
+use crate::witness::Witness;
+
+/// Runs at once that each machine bears.
+const BEARS: f32 = 8.0;
+/// A start into a running fleet is cold for so long, ms.
+const COLD: Ms = 3_000;
+/// A drain takes so long, ms; and the last word is waited for so long.
+const DRAIN: Ms = 700;
+const LAST_WORD: Ms = 1_500;
+
+/// What a fleet is made of.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    pub machines: usize,
+    pub voters: usize,
+    pub zones: usize,
+    pub rules: Rules,
+    /// How long work takes.
+    pub work: Ms,
+    /// Clocks run so much faster or slower at the most, as a part.
+    pub drift: f64,
+}
+
+impl Default for Shape {
+    fn default() -> Shape {
+        Shape { machines: 5, voters: 3, zones: 1, rules: Rules::default(), work: 4_000, drift: 0.0 }
+    }
+}
+
+/// A disk that outlives its process, can be lost and can be full.
+#[derive(Clone, Default)]
+struct Folder(Arc<Mutex<(MemoryDisk, bool)>>);
+
+impl Disk for Folder {
+    fn read(&mut self) -> Result<Image, String> {
+        self.0.lock().expect("one thread").0.read()
+    }
+
+    fn write(&mut self, write: &Write) -> Result<(), String> {
+        let mut folder = self.0.lock().expect("one thread");
+        if folder.1 { Err("no space left".into()) } else { folder.0.write(write) }
+    }
+}
+
+pub struct Machine {
+    pub node: Option<Node>,
+    folder: Folder,
+    /// Own time is so much further, and runs so much faster.
+    ahead: Ms,
+    drift: f64,
+    stopped_until: Ms,
+    wake: Ms,
+    started: Ms,
+    /// It drains since then, and by which ticket.
+    pub leaving: Option<(Ms, Option<TicketId>)>,
+    drained: bool,
+    /// How long work takes here; none is never back.
+    work: Option<Ms>,
+    load_at: Ms,
+    /// Sent by it: messages and bytes.
+    pub sent: (u64, u64),
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Due {
+    at: Ms,
+    number: u64,
+    what: What,
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum What {
+    Message { to: usize, bytes: Vec<u8> },
+    Start(usize),
+}
+
+pub struct World {
+    pub shape: Shape,
+    pub now: Ms,
+    pub machines: Vec<Machine>,
+    pub witness: Witness,
+    rng: SmallRng,
+    queue: BinaryHeap<Reverse<Due>>,
+    number: u64,
+    cuts: BTreeSet<(usize, usize)>,
+    loss: f64,
+    doubled: f64,
+    delay: Ms,
+    demand: f64,
+    /// Requests of the operators, and what came of them.
+    pub asked: Vec<(RequestId, Vec<usize>, Option<Answer>)>,
+    pub log: Vec<(Ms, String)>,
+}
+
+pub fn name(machine: usize) -> String {
+    format!("n{machine}")
+}
+
+fn number(name: &str) -> Option<usize> {
+    name.strip_prefix('n')?.parse().ok()
+}
+
+impl World {
+    /// All machines started, and the fleet founded by the first.
+    pub fn new(shape: Shape, seed: u64) -> World {
+        let mut world = World::bare(shape, seed);
+        let machines = world.shape.machines;
+        (0..machines).for_each(|one| world.start(one));
+        // So that nobody is cold at first.
+        world.machines.iter_mut().for_each(|machine| machine.started = 0);
+        let node = world.machines[0].node.as_mut().expect("it was started");
+        node.begin_alone(false, 0).expect("a fleet is founded");
+        world
+    }
+
+    fn bare(shape: Shape, seed: u64) -> World {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let machine = |_| Machine {
+            node: None,
+            folder: Folder::default(),
+            ahead: rng.random_range(0..1_000_000),
+            drift: 1.0 + shape.drift * rng.random_range(-1.0..1.0),
+            stopped_until: 0,
+            wake: 0,
+            started: 0,
+            leaving: None,
+            drained: false,
+            work: Some(shape.work),
+            load_at: 0,
+            sent: (0, 0),
+        };
+        let machines = (0..shape.machines).map(machine).collect();
+        World {
+            witness: Witness::new(&shape),
+            now: COLD,
+            machines,
+            rng,
+            queue: BinaryHeap::new(),
+            number: 0,
+            cuts: BTreeSet::new(),
+            loss: 0.0,
+            doubled: 0.0,
+            delay: 5,
+            demand: 3.0,
+            asked: Vec::new(),
+            log: Vec::new(),
+            shape,
+        }
+    }
+
+    /// The time that a machine's own clock shows.
+    fn local(&self, one: usize) -> Ms {
+        let machine = &self.machines[one];
+        (self.now as f64 * machine.drift) as Ms + machine.ahead
+    }
+
+    fn address(machine: usize) -> std::net::SocketAddr {
+        ([127, 0, (machine / 250) as u8, (machine % 250) as u8], 7400).into()
+    }
+
+    pub fn start(&mut self, one: usize) {
+        if self.machines[one].node.is_some() {
+            return;
+        }
+        let (now, seed) = (self.local(one), self.rng.random());
+        let setup = Setup {
+            fleet: "sim".into(),
+            name: name(one),
+            zone: format!("z{}", one % self.shape.zones),
+            address: World::address(one),
+            voters: (0..self.shape.voters).map(|n| (name(n), World::address(n))).collect(),
+            via: Default::default(),
+            rules: self.shape.rules.clone(),
+            seed,
+            wall: self.now,
+        };
+        let machine = &mut self.machines[one];
+        machine.node = Some(Node::start(setup, Box::new(machine.folder.clone()), now));
+        (machine.started, machine.leaving, machine.drained) = (self.now, None, false);
+        (machine.wake, machine.load_at, machine.stopped_until) = (self.now, self.now, 0);
+        self.say(format!("n{one} starts"));
+    }
+
+    fn kill(&mut self, one: usize) {
+        self.machines[one].node = None;
+        self.say(format!("n{one} is dead"));
+        self.witness.gone(one, self.now);
+    }
+
+    fn say(&mut self, what: String) {
+        self.log.push((self.now, what));
+    }
+
+    /// Plays a script and goes on until `until`. Errors: what the witness saw, with its moment.
+    pub fn play(&mut self, script: &Script, until: Ms) -> Result<(), String> {
+        for (at, fault) in &script.steps {
+            self.go(*at)?;
+            self.do_fault(fault);
+        }
+        self.go(until)
+    }
+
+    /// Moves on to a moment, one event after the other.
+    pub fn go(&mut self, until: Ms) -> Result<(), String> {
+        loop {
+            let message = self.queue.peek().map_or(Ms::MAX, |Reverse(due)| due.at);
+            let wake = (0..self.machines.len())
+                .filter(|one| self.machines[*one].node.is_some())
+                .map(|one| (self.machines[one].wake.max(self.machines[one].stopped_until), one))
+                .min();
+            let wake_at = wake.map_or(Ms::MAX, |(at, _)| at);
+            if message.min(wake_at) > until {
+                self.now = until;
+                return Ok(());
+            }
+            let moved = if message <= wake_at {
+                let Some(Reverse(due)) = self.queue.pop() else { continue };
+                self.now = self.now.max(due.at);
+                match due.what {
+                    What::Message { to, bytes } => self.deliver(to, bytes),
+                    What::Start(one) => {
+                        self.start(one);
+                        Some(one)
+                    }
+                }
+            } else {
+                let Some((at, one)) = wake else { continue };
+                self.now = self.now.max(at);
+                self.turn(one);
+                Some(one)
+            };
+            if let Some(one) = moved {
+                self.carry_out(one);
+                self.witness.look(self.now, one, &self.machines).map_err(|what| {
+                    let last: Vec<String> = self
+                        .log
+                        .iter()
+                        .rev()
+                        .take(60)
+                        .rev()
+                        .map(|(at, what)| format!("{at:>8} {what}"))
+                        .collect();
+                    format!("at {} ms: {what}\n{}", self.now, last.join("\n"))
+                })?;
+            }
+        }
+    }
+
+    fn deliver(&mut self, to: usize, bytes: Vec<u8>) -> Option<usize> {
+        let machine = &mut self.machines[to];
+        if machine.stopped_until > self.now {
+            let at = machine.stopped_until;
+            self.push(at, What::Message { to, bytes });
+            return None;
+        }
+        let now = self.local(to);
+        let node = self.machines[to].node.as_mut()?;
+        let _ = node.message(&bytes[HEAD..], now);
+        Some(to)
+    }
+
+    fn turn(&mut self, one: usize) {
+        let now = self.local(one);
+        if self.now >= self.machines[one].load_at {
+            self.machines[one].load_at = self.now + 500;
+            let digest = self.digest(one);
+            if let Some(node) = &mut self.machines[one].node {
+                node.load(now, digest);
+            }
+        }
+        if let Some(node) = &mut self.machines[one].node {
+            node.tick(now);
+        }
+    }
+
+    fn serving(&self, one: usize) -> bool {
+        let machine = &self.machines[one];
+        machine.node.is_some() && machine.leaving.is_none()
+    }
+
+    fn digest(&self, one: usize) -> Digest {
+        let serving = (0..self.machines.len()).filter(|one| self.serving(*one)).count().max(1);
+        let machine = &self.machines[one];
+        let part = (self.demand * self.machines.len() as f64 / serving as f64) as f32;
+        let cold = self.now < machine.started + COLD && machine.started > 0;
+        let over = part / BEARS;
+        Digest {
+            phase: if cold { Phase::Cold } else { Phase::Serving },
+            share: (1.0 / over).min(1.0),
+            over_aim: over,
+            limit: BEARS,
+            running: part.min(BEARS),
+            cores: BEARS,
+            healthy: !cold,
+        }
+    }
+
+    fn push(&mut self, at: Ms, what: What) {
+        self.number += 1;
+        self.queue.push(Reverse(Due { at, number: self.number, what }));
+    }
+
+    fn carry_out(&mut self, one: usize) {
+        let Some(node) = &mut self.machines[one].node else { return };
+        for effect in node.take() {
+            match effect {
+                Effect::Send { to, bytes, .. } => {
+                    let Some(to) = number(&to) else { continue };
+                    self.machines[one].sent.0 += 1;
+                    self.machines[one].sent.1 += bytes.len() as u64;
+                    let copies = 1 + usize::from(self.doubled > 0.0 && self.rng.random_bool(self.doubled));
+                    for _ in 0..copies {
+                        let lost = self.loss > 0.0 && self.rng.random_bool(self.loss);
+                        let after = self.rng.random_range(1..=self.delay.max(1));
+                        if !lost && !self.cuts.contains(&(one, to)) && to < self.machines.len() {
+                            self.push(self.now + after, What::Message { to, bytes: bytes.clone() });
+                        }
+                    }
+                }
+                Effect::Leave(ticket) => {
+                    self.machines[one].leaving.get_or_insert((self.now, Some(ticket)));
+                    self.witness.leaves(one, ticket, self.now);
+                    self.say(format!("n{one} leaves by ticket {ticket}"));
+                }
+                Effect::Answered(id, answer) => {
+                    if let Some(asked) = self.asked.iter_mut().find(|(asked, ..)| *asked == id) {
+                        asked.2 = Some(answer);
+                    }
+                }
+                Effect::Note(text) => self.say(format!("n{one}: {text}")),
+            }
+        }
+        self.drain(one);
+        let now = self.local(one);
+        let machine = &mut self.machines[one];
+        if let Some(node) = &machine.node {
+            let ahead = node.next_wake().saturating_sub(now).max(1);
+            let leaving = if machine.leaving.is_some() { 100 } else { Ms::MAX };
+            machine.wake = self.now + ahead.min(leaving).min(500);
+        }
+    }
+
+    /// A server that leaves: drains, says so, goes, and is started again when its work is done.
+    fn drain(&mut self, one: usize) {
+        let now = self.local(one);
+        let machine = &mut self.machines[one];
+        let (Some((since, ticket)), Some(node)) = (machine.leaving, &mut machine.node) else { return };
+        if self.now >= since + DRAIN && !machine.drained {
+            machine.drained = true;
+            node.drained(now);
+        }
+        if machine.drained && (node.is_over() || self.now >= since + DRAIN + LAST_WORD) {
+            node.end(now);
+            let last = node.take();
+            machine.node = None;
+            let work = machine.work;
+            for effect in last {
+                if let (Effect::Send { to, bytes, .. }, false) = (effect, self.loss >= 1.0)
+                    && let Some(to) = number(&to)
+                    && !self.cuts.contains(&(one, to))
+                {
+                    self.push(self.now + 2, What::Message { to, bytes });
+                }
+            }
+            self.say(format!("n{one} is out"));
+            self.witness.gone(one, self.now);
+            if let Some(work) = work.filter(|_| ticket.is_some()) {
+                self.push(self.now + work, What::Start(one));
+            }
+        }
+    }
+
+    pub fn do_fault(&mut self, fault: &Fault) {
+        self.say(format!("{fault:?}"));
+        match fault {
+            Fault::Kill(one) => self.kill(*one),
+            Fault::Start(one) => self.start(*one),
+            Fault::Stop(one, span) => self.machines[*one].stopped_until = self.now + span,
+            Fault::LoseDisk(one) => self.machines[*one].folder = Folder::default(),
+            Fault::FillDisk(one, full) => {
+                self.machines[*one].folder.0.lock().expect("one thread").1 = *full;
+            }
+            Fault::Cut(from, to) => {
+                self.cuts.insert((*from, *to));
+            }
+            Fault::Isolate(side) => {
+                for a in 0..self.machines.len() {
+                    for b in 0..self.machines.len() {
+                        if side.contains(&a) != side.contains(&b) {
+                            self.cuts.insert((a, b));
+                        }
+                    }
+                }
+            }
+            Fault::Mend => self.cuts.clear(),
+            Fault::Loss(loss, doubled) => (self.loss, self.doubled) = (*loss, *doubled),
+            Fault::Delay(longest) => self.delay = *longest,
+            Fault::Ask(servers, urgency) => {
+                let wanted = servers.iter().map(|one| Wanted {
+                    server: name(*one),
+                    zone: format!("z{}", one % self.shape.zones),
+                    reason: "kernel".into(),
+                    urgency: *urgency,
+                    lasts: 60_000,
+                    window: None,
+                });
+                let command = Command::Ask(wanted.collect());
+                self.operator(command, servers.clone());
+            }
+            Fault::Withdraw(ticket) => self.by_hand(*ticket, Move::Withdraw),
+            Fault::WriteOff(ticket) => {
+                self.witness.written_off(*ticket);
+                self.by_hand(*ticket, Move::WriteOff);
+            }
+            Fault::Demand(demand) => self.demand = *demand,
+            Fault::Work(one, span) => self.machines[*one].work = *span,
+            Fault::Terminate(one) => {
+                let now = self.local(*one);
+                if let Some(node) = &mut self.machines[*one].node {
+                    node.leaving(now);
+                    self.machines[*one].leaving.get_or_insert((self.now, None));
+                    self.carry_out(*one);
+                }
+            }
+        }
+    }
+
+    fn by_hand(&mut self, ticket: TicketId, by: Move) {
+        self.operator(Command::Move { ticket, by, grant: 0, incarnation: 0 }, Vec::new());
+    }
+
+    /// An operator's command, said to the first machine that runs.
+    pub fn operator(&mut self, command: Command, servers: Vec<usize>) {
+        let runs = |one: &usize| self.serving(*one) && self.machines[*one].stopped_until <= self.now;
+        let Some(one) = (0..self.machines.len()).find(runs) else { return };
+        let now = self.local(one);
+        let ask = Ask::Do { by: By::Operator("ops".into()), command };
+        if let Some(node) = &mut self.machines[one].node {
+            let id = node.submit(ask, now);
+            self.asked.push((id, servers, None));
+            self.carry_out(one);
+        }
+    }
+
+    /// The member that leads, as far as it knows itself.
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |one: &usize| self.machines[*one].node.as_ref().is_some_and(Node::leads);
+        let term =
+            |one: &usize| self.machines[*one].node.as_ref().and_then(|n| n.agreement()).map(|a| a.term());
+        (0..self.machines.len()).filter(leads).max_by_key(term)
+    }
+
+    /// Stage of each ticket by the leader's order, open and over, in the order of their numbers.
+    pub fn stages(&self) -> Vec<(TicketId, String, Stage)> {
+        let order = self.leader().and_then(|one| self.machines[one].node.as_ref()?.order());
+        let Some(order) = order else { return Vec::new() };
+        let mut all: Vec<_> = order
+            .over()
+            .chain(order.open().values())
+            .map(|ticket| (ticket.id, ticket.wanted.server.clone(), ticket.stage))
+            .collect();
+        all.sort();
+        all
+    }
+
+    /// What the fleet's members sent so far: messages and bytes.
+    pub fn traffic(&self) -> (u64, u64) {
+        self.machines.iter().fold((0, 0), |sum, one| (sum.0 + one.sent.0, sum.1 + one.sent.1))
+    }
+}
