The fleet's driver, settings and commands: a thread of its own, off unless the options name a fleet

Need: the member's state machine has to meet sockets, a folder and the operators, with nothing of it on a request's path.

The owner tells it the module's load twice a second and that it leaves; at the end it waits 1.5 s at the most for the last word.

--- a/crates/loomflow-fleet/src/agreement/disk.rs
+++ b/crates/loomflow-fleet/src/agreement/disk.rs
@@ -24,6 +24,17 @@
     pub seat: Seat,
 }
 
+impl Stamp {
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    /// None where the bytes are no stamp.
+    pub fn decode(bytes: &[u8]) -> Option<Stamp> {
+        postcard::from_bytes(bytes).ok()
+    }
+}
+
 /// One step that must be durable, whole or not at all, before anything that follows from it is said.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Write {
--- /dev/null
+++ b/crates/loomflow-server/src/fleet/mod.rs
@@ -0,0 +1,322 @@
+//! The fleet's driver: one thread with its sockets, its folder and the member's state machine. Nothing of it is on a
+//! request's path: the owner tells it its load and that it leaves, and waits for nothing but a bounded moment at the end.
+//!
+//! - `links`: connections to and from other members.
+//! - `store`: the folder.
+//! - `socket`: the operators' socket.
+//! - `command`: `loomflow fleet …`, the other end of that socket.
+
+pub mod command;
+mod links;
+mod said;
+mod socket;
+mod store;
+
+use std::io;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use loomflow_fleet::agreement::disk::Disk;
+use loomflow_fleet::member::{Digest, Ms, Phase};
+use loomflow_fleet::node::{Effect, Node, Setup};
+use loomflow_fleet::operator::{Hear, Say};
+use loomflow_fleet::order::rules::{Amount, Rules};
+use loomflow_settings::Config;
+use loomflow_settings::fleet::{self, Fleet as Options};
+use mio::{Events, Poll, Token, Waker};
+
+use crate::log;
+use crate::mailbox::{Input, Mailbox};
+use links::Links;
+use socket::Operators;
+
+/// What the owner may have said that the thread has not heard.
+const MAILBOX: usize = 64;
+/// The last word is waited for so long.
+const LAST_WORD: Duration = Duration::from_millis(1_500);
+/// Longest sleep: the clock is looked at as often.
+const LONGEST_SLEEP: Duration = Duration::from_millis(200);
+const STACK: usize = 512 * 1024;
+
+const WAKE: Token = Token(0);
+const LISTENER: Token = Token(1);
+const OPERATORS: Token = Token(2);
+/// Connections have the tokens from here on.
+const FIRST_LINK: usize = 16;
+
+enum Told {
+    Load(Digest),
+    Leaving,
+    Drained(SyncSender<()>),
+}
+
+/// The owner's end.
+pub struct Fleet {
+    told: SyncSender<Told>,
+    waker: Arc<Waker>,
+}
+
+impl Fleet {
+    /// Starts the thread. Errors: the listener, the operators' socket or the thread cannot be had; a folder that cannot be
+    /// used is no reason not to serve.
+    pub fn start(config: &Config, options: &Options, mailbox: Arc<Mailbox>) -> Result<Fleet, String> {
+        let fault = |what: &str, e: io::Error| format!("{what}: {e}");
+        let poll = Poll::new().map_err(|e| fault("fleet", e))?;
+        let waker = Arc::new(Waker::new(poll.registry(), WAKE).map_err(|e| fault("fleet", e))?);
+        let links = Links::listen(options.listen, poll.registry())
+            .map_err(|e| fault(&format!("fleet.listen {}", options.listen), e))?;
+        let operators = Operators::listen(&options.socket(), poll.registry())
+            .map_err(|e| fault(&format!("fleet.state: {}", options.socket().display()), e))?;
+        let (told, hears) = sync_channel(MAILBOX);
+        let setup = setup(config, options);
+        let disk: Box<dyn Disk> = match store::Store::open(&options.state) {
+            Ok(store) => Box::new(store),
+            Err(why) => {
+                log!(part = "fleet", why, "the folder cannot be used, and this server has no vote");
+                Box::new(store::Later(options.state.clone()))
+            }
+        };
+        let driver = move || {
+            let now = boot_ms();
+            let node = Node::start(setup, disk, now);
+            Driver { poll, links, operators, hears, node, mailbox, over: None }.run();
+        };
+        let thread = std::thread::Builder::new().name("fleet".into()).stack_size(STACK);
+        thread.spawn(driver).map_err(|e| fault("fleet", e))?;
+        Ok(Fleet { told, waker })
+    }
+
+    /// The server's load; one that comes while others wait unheard is left out.
+    pub fn load(&self, digest: Digest) {
+        self.tell(Told::Load(digest));
+    }
+
+    /// The server has been told to leave.
+    pub fn leaving(&self) {
+        self.tell(Told::Leaving);
+    }
+
+    /// Nothing is owed any more. Waits until that is said, for a bounded moment.
+    pub fn drained(&self) {
+        let (said, heard) = sync_channel(1);
+        self.tell(Told::Drained(said));
+        let _ = heard.recv_timeout(LAST_WORD + LONGEST_SLEEP);
+    }
+
+    fn tell(&self, what: Told) {
+        if let Err(TrySendError::Full(_)) = self.told.try_send(what) {
+            log!(part = "fleet", "the thread does not keep up");
+        }
+        let _ = self.waker.wake();
+    }
+}
+
+fn setup(config: &Config, options: &Options) -> Setup {
+    let amount = |amount| match amount {
+        fleet::Amount::Count(count) => Amount::Count(count),
+        fleet::Amount::Share(share) => Amount::Share(share),
+    };
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+    Setup {
+        fleet: options.name.clone(),
+        name: config.name.clone(),
+        zone: options.zone.clone(),
+        address: options.reached_at(),
+        voters: options.voters.iter().map(|voter| (voter.name.clone(), voter.address)).collect(),
+        via: options.via.clone(),
+        rules: Rules {
+            out: amount(options.out),
+            zone_out: options.zone_out.map(amount),
+            begin_within: options.begin_within_s * 1000,
+            warm_for: options.warm_for_s * 1000,
+            warm_share: options.warm_share,
+        },
+        // Numbers that are drawn must not come again after a restart.
+        seed: config.seed ^ fastrand::u64(..),
+        wall,
+    }
+}
+
+/// Ms on the clock that goes on while the machine sleeps and that nobody sets.
+fn boot_ms() -> Ms {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    now.tv_sec as u64 * 1000 + now.tv_nsec as u64 / 1_000_000
+}
+
+struct Driver {
+    poll: Poll,
+    links: Links,
+    operators: Operators,
+    hears: Receiver<Told>,
+    node: Node,
+    mailbox: Arc<Mailbox>,
+    /// Whom to tell that the last word is said, and until when it is waited for.
+    over: Option<(SyncSender<()>, Ms)>,
+}
+
+impl Driver {
+    fn run(mut self) {
+        let mut events = Events::with_capacity(256);
+        loop {
+            let now = boot_ms();
+            if now >= self.node.next_wake() {
+                self.node.tick(now);
+            }
+            self.carry_out(now);
+            if let Some((said, until)) = &self.over
+                && (self.node.is_over() || now >= *until)
+            {
+                let said = said.clone();
+                self.node.end(now);
+                self.carry_out(now);
+                self.links.flush();
+                let _ = said.try_send(());
+                return;
+            }
+            let ahead = Duration::from_millis(self.node.next_wake().saturating_sub(now).max(1));
+            if let Err(e) = self.poll.poll(&mut events, Some(ahead.min(LONGEST_SLEEP)))
+                && e.kind() != io::ErrorKind::Interrupted
+            {
+                let why = e.to_string();
+                log!(part = "fleet", why, "the fleet is no longer heard, and the server goes on without it");
+                return;
+            }
+            let now = boot_ms();
+            for event in &events {
+                match event.token() {
+                    WAKE => {}
+                    LISTENER => self.links.accept(self.poll.registry(), now),
+                    OPERATORS => self.operators.accept(self.poll.registry()),
+                    token if self.operators.is_one(token) => {
+                        if let Some((from, say)) = self.operators.ready(token) {
+                            self.operator(from, say, now);
+                        }
+                    }
+                    token => self.heard(token, event.is_readable() || event.is_read_closed(), now),
+                }
+            }
+            self.told(now);
+            self.links.sweep(now);
+        }
+    }
+
+    /// Bytes of another member, or room to write to it.
+    fn heard(&mut self, token: Token, readable: bool, now: Ms) {
+        if let Some(why) = self
+            .links
+            .ready(token, readable, now, self.poll.registry(), &mut |bytes| self.node.message(bytes, now))
+        {
+            log!(part = "fleet", why, "a link was ended");
+        }
+    }
+
+    /// What the owner said.
+    fn told(&mut self, now: Ms) {
+        while let Ok(told) = self.hears.try_recv() {
+            match told {
+                Told::Load(digest) => self.node.load(now, digest),
+                Told::Leaving => self.node.leaving(now),
+                Told::Drained(said) => {
+                    self.node.drained(now);
+                    self.over = Some((said, now + LAST_WORD.as_millis() as Ms));
+                }
+            }
+        }
+    }
+
+    fn operator(&mut self, from: Token, say: Result<Say, String>, now: Ms) {
+        let hear = match say {
+            Err(why) => Hear::Fault(why),
+            Ok(Say::Here) => Hear::Here(Box::new(self.node.status(now))),
+            Ok(Say::Fleet(ask)) => {
+                let id = self.node.submit(ask, now);
+                self.operators.waits(from, id);
+                return;
+            }
+            Ok(Say::Found) => self.node.begin_alone(false, now).map_or_else(Hear::Fault, |()| Hear::Done),
+            Ok(Say::Recover) => self.node.begin_alone(true, now).map_or_else(Hear::Fault, |()| Hear::Done),
+        };
+        self.operators.answer(from, &hear);
+    }
+
+    fn carry_out(&mut self, now: Ms) {
+        for effect in self.node.take() {
+            match effect {
+                Effect::Send { address, bytes, .. } => {
+                    self.links.send(address, bytes, now, self.poll.registry());
+                }
+                Effect::Leave(_) => self.mailbox.put(Input::Leave),
+                Effect::Answered(id, answer) => {
+                    self.operators.answered(id, &Hear::Answer(answer));
+                }
+                Effect::Note(text) => log!(part = "fleet", "{text}"),
+            }
+        }
+    }
+}
+
+/// Runs in hand in the mean since the last digest, and when the next one is due.
+pub struct Meter {
+    since: f64,
+    at: f64,
+    area: f64,
+    running: f64,
+}
+
+/// How often the owner tells its load, ms.
+const PERIOD: f64 = 500.0;
+
+impl Meter {
+    pub fn new(now: f64) -> Meter {
+        Meter { since: now, at: now, area: 0.0, running: 0.0 }
+    }
+
+    /// Takes in how many runs there are from now on; with a mean where a digest is due.
+    pub fn note(&mut self, now: f64, running: f64) -> Option<f64> {
+        self.area += self.running * (now - self.at);
+        (self.at, self.running) = (now, running);
+        let span = now - self.since;
+        if span < PERIOD {
+            return None;
+        }
+        let mean = self.area / span;
+        (self.since, self.area) = (now, 0.0);
+        Some(mean)
+    }
+}
+
+/// What the module says of the server's load, with the mean of its runs, as a digest.
+pub fn digest(
+    load: &loomflow::interface::Load,
+    mean: f64,
+    cores: f64,
+    phase: Phase,
+    healthy: bool,
+) -> Digest {
+    Digest {
+        phase,
+        share: load.share as f32,
+        over_aim: load.over_aim as f32,
+        limit: load.limit as f32,
+        running: mean as f32,
+        cores: cores as f32,
+        healthy,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::Meter;
+
+    #[test]
+    fn the_mean_is_over_time_and_not_over_batches() {
+        let mut meter = Meter::new(0.0);
+        assert_eq!(meter.note(0.0, 4.0), None);
+        assert_eq!(meter.note(100.0, 0.0), None);
+        // Four for a tenth of a second, then two for a hundredth, then none.
+        assert_eq!(meter.note(490.0, 2.0), None);
+        assert_eq!(meter.note(500.0, 0.0), Some((400.0 + 20.0) / 500.0));
+        assert_eq!(meter.note(1000.0, 0.0), Some(0.0));
+    }
+}
--- a/crates/loomflow-server/src/main.rs
+++ b/crates/loomflow-server/src/main.rs
@@ -5,6 +5,7 @@
 mod clock;
 mod control;
 mod ending;
+mod fleet;
 mod front;
 mod keys;
 mod link;
@@ -32,6 +33,7 @@
   serve          run one server until it is told to leave by SIGTERM
   check-config   read the configuration, say what is wrong with it, serve nothing
                  (--against FILE: and what of it a server with that one would take up)
+  fleet          the servers of a fleet, and their turns to be out for work: `loomflow fleet help`
   schema         print the JSON schema of the options file
   version        print the version
   help           print this
@@ -49,6 +51,8 @@
     Schema,
     Version,
     Help,
+    /// What follows is the fleet's own.
+    Fleet(lexopt::Parser),
 }
 
 /// What a server is told, by the files that tell it.
@@ -63,7 +67,7 @@
         let config = Config::load(&self.config)?;
         let Some(file) = &self.options else { return Ok((config, Options::default())) };
         let options = Options::load(file)?;
-        options.check(&config.site).map_err(|faults| {
+        options.check(&config.site, &config.name).map_err(|faults| {
             let named = faults.lines().map(|fault| format!("{}: {fault}", file.display()));
             named.collect::<Vec<_>>().join("\n")
         })?;
@@ -84,6 +88,7 @@
             Long("options") => options = Some(parser.value().map_err(|e| e.to_string())?.into()),
             Long("against") => against = Some(parser.value().map_err(|e| e.to_string())?.into()),
             Long("front") => front = Some(parser.value().map_err(|e| e.to_string())?),
+            Value(word) if name.is_none() && word == "fleet" => return Ok(Command::Fleet(parser)),
             Value(word) if name.is_none() => name = Some(word.to_string_lossy().into_owned()),
             other => return Err(other.unexpected().to_string()),
         }
@@ -145,6 +150,13 @@
             Ok(code) => return code,
             Err(why) => Err(why),
         },
+        Ok(Command::Fleet(parser)) => match fleet::command::run(parser) {
+            Ok(code) => return code,
+            Err(message) => {
+                eprint!("loomflow: {message}\n{}", fleet::command::USAGE);
+                return ExitCode::from(2);
+            }
+        },
         Ok(Command::Serve(files)) => serve(files),
         Ok(Command::CheckConfig(files, against)) => check(&files, against.as_deref()),
         Ok(Command::Schema) => {
--- a/crates/loomflow-server/src/owner/mod.rs
+++ b/crates/loomflow-server/src/owner/mod.rs
@@ -13,12 +13,14 @@
 
 use loomflow::choice::Choice;
 use loomflow::interface::{Event, Outcome, RequestId};
+use loomflow_fleet::member::Phase;
 use loomflow_settings::guard::{self, Fault, Pair, When};
 use loomflow_settings::{Config, Options, Site};
 
 use crate::budget::Budget;
 use crate::call::Ledger;
 use crate::clock::{Clock, Now};
+use crate::fleet::{self, Fleet, Meter};
 use crate::front::Fronts;
 use crate::front::seam::{Ask, Ticket};
 use crate::keys::Keys;
@@ -56,8 +58,12 @@
     now: Now,
     ready: Arc<AtomicBool>,
     control: control::Moves,
+    /// The fleet, where the options name one, and the runs in hand that it is told.
+    fleet: Option<(Fleet, Meter)>,
     /// There is none before the engine is up.
     choice: Option<Choice>,
+    /// From when on caches and code are warm.
+    warm_at: f64,
     touched: bool,
     /// What follows from actions, for the module's next batch.
     events: VecDeque<Event>,
@@ -94,13 +100,17 @@
     let ready = Arc::new(AtomicBool::new(true));
     let control = control::start(config.control, config.name.clone(), ready.clone());
     let clock = Clock::start();
+    let fleet =
+        options.fleet.as_ref().map(|fleet| Fleet::start(&config, fleet, mailbox.clone())).transpose()?;
     let mut owner = Owner {
         site: config.site.clone(),
         clock,
         now: clock.now(),
         ready,
         control,
+        fleet: fleet.map(|fleet| (fleet, Meter::new(clock.now().ms))),
         choice: None,
+        warm_at: 0.0,
         touched: false,
         events: VecDeque::new(),
         table: Table::default(),
@@ -135,6 +145,9 @@
         }
         owner.batch(inputs);
     }
+    if let Some((fleet, _)) = &owner.fleet {
+        fleet.drained();
+    }
     Ok(())
 }
 
@@ -196,6 +209,22 @@
             self.carry_out(actions);
             self.follow_up();
         }
+        self.tell_fleet();
+    }
+
+    /// Tells the fleet this server's load every so often.
+    fn tell_fleet(&mut self) {
+        let Some((fleet, meter)) = &mut self.fleet else { return };
+        let load = self.choice.as_ref().map(Choice::load).unwrap_or_default();
+        let Some(mean) = meter.note(self.now.ms, load.running) else { return };
+        let phase = match (&self.choice, self.leaving) {
+            (_, true) => Phase::Leaving,
+            (None, _) => Phase::Cold,
+            (Some(_), _) if self.now.ms < self.warm_at => Phase::Cold,
+            _ => Phase::Serving,
+        };
+        let healthy = self.good && self.choice.is_some();
+        fleet.load(fleet::digest(&load, mean, self.site.settings.cores, phase, healthy));
     }
 
     /// Tells the module what has followed from what it did.
@@ -331,6 +360,9 @@
             return;
         }
         log!("told to leave");
+        if let Some((fleet, _)) = &self.fleet {
+            fleet.leaving();
+        }
         let grace = self.site.settings.drain_grace.min(self.config.stop_ms / 2.0);
         self.closes_at = self.now.ms + grace;
         self.events.push_back(Event::Leaving { left: self.config.stop_ms });
--- a/crates/loomflow-server/src/owner/runs.rs
+++ b/crates/loomflow-server/src/owner/runs.rs
@@ -18,6 +18,7 @@
             Notice::Hello { starting, age } => {
                 if self.choice.is_none() {
                     let settings = run::warmed(&self.site.settings, starting, age);
+                    self.warm_at = self.now.ms + if settings.cold { settings.cold_span } else { 0.0 };
                     self.choice = Some(Choice::new(settings, self.config.seed, self.now.ms));
                     self.touched = true;
                     self.fronts.open();
--- a/crates/loomflow-settings/src/lib.rs
+++ b/crates/loomflow-settings/src/lib.rs
@@ -1,6 +1,8 @@
 //! The one place where configuration and settings are read, checked and given defaults, for both fronts.
 
+pub mod campaign;
 pub mod config;
+pub mod fleet;
 pub mod guard;
 pub mod options;
 pub mod read;
--- a/crates/loomflow-settings/src/options.rs
+++ b/crates/loomflow-settings/src/options.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use serde_saphyr::Spanned;
 
+use crate::fleet::Fleet;
 use crate::read::Read;
 use crate::site::Site;
 
@@ -23,6 +24,9 @@
     /// Work from queues of AMQP 0-9-1 brokers; off where absent.
     #[garde(dive)]
     pub amqp: Option<Amqp>,
+    /// Talk with the other servers of a fleet; off where absent.
+    #[garde(dive)]
+    pub fleet: Option<Fleet>,
 }
 
 #[derive(Clone, Debug, Default, Deserialize, JsonSchema)]
@@ -173,6 +177,9 @@
         if let (Some(amqp), Some(folder)) = (&mut options.amqp, path.parent()) {
             amqp.credentials = folder.join(&amqp.credentials);
         }
+        if let (Some(fleet), Some(folder)) = (&mut options.fleet, path.parent()) {
+            fleet.state = folder.join(&fleet.state);
+        }
         Ok(options)
     }
 
@@ -184,11 +191,25 @@
         serde_saphyr::from_str_valid(text).map_err(|e| e.without_snippet().to_string())
     }
 
-    /// Checks the names in it against those of the settings. Errors: one line for each that is not there.
-    pub fn check(&self, site: &Site) -> Read<()> {
-        let Some(amqp) = &self.amqp else { return Ok(()) };
+    /// Checks the names in it against those of the settings and of the server. Errors: one line for each that is wrong.
+    pub fn check(&self, site: &Site, server: &str) -> Read<()> {
+        let mut faults = self.amqp.as_ref().map_or_else(Vec::new, |amqp| amqp.faults(site));
+        faults.extend(self.fleet.iter().flat_map(|fleet| fleet.faults(server)));
+        if faults.is_empty() { Ok(()) } else { Err(faults.join("\n")) }
+    }
+
+    /// The published schema of the file.
+    pub fn schema() -> String {
+        let schema = schemars::schema_for!(Options);
+        serde_json::to_string_pretty(&schema).unwrap_or_default()
+    }
+}
+
+impl Amqp {
+    /// A line for each name in it that is not among those of the settings.
+    fn faults(&self, site: &Site) -> Vec<String> {
         let mut faults = Vec::new();
-        for (at, queue) in amqp.queues.iter().enumerate() {
+        for (at, queue) in self.queues.iter().enumerate() {
             let mut fault = |key: &str, place: Option<&Spanned<String>>, what: String| {
                 let place = place.map_or(String::new(), |p| {
                     format!("line {} column {}: ", p.referenced.line(), p.referenced.column())
@@ -212,13 +233,7 @@
             named("class", &queue.class, &queue.class_header, &site.classes);
             named("tenant", &queue.tenant, &queue.tenant_header, &site.tenants);
         }
-        if faults.is_empty() { Ok(()) } else { Err(faults.join("\n")) }
-    }
-
-    /// The published schema of the file.
-    pub fn schema() -> String {
-        let schema = schemars::schema_for!(Options);
-        serde_json::to_string_pretty(&schema).unwrap_or_default()
+        faults
     }
 }
 
@@ -266,7 +281,7 @@
             assert!(Options::parse(text).unwrap().amqp.is_none());
         }
         let options = Options::parse(GOOD).unwrap();
-        assert_eq!(options.check(&site()), Ok(()));
+        assert_eq!(options.check(&site(), "n1"), Ok(()));
         assert_eq!(options.amqp.unwrap().vhost, "/");
     }
 
@@ -294,7 +309,7 @@
             (GOOD.replace("class: book", "class: book\n      class_header: x"), "exclude"),
         ];
         for (text, part) in cases {
-            let error = Options::parse(&text).unwrap().check(&site()).unwrap_err();
+            let error = Options::parse(&text).unwrap().check(&site(), "n1").unwrap_err();
             assert!(error.contains(part), "{error}");
         }
     }
@@ -303,7 +318,7 @@
     fn what_is_published_under_deploy_is_current() {
         let deploy = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/");
         let example = Options::load(Path::new(&format!("{deploy}amqp.example.yaml"))).unwrap();
-        assert_eq!(example.check(&site()), Ok(()));
+        assert_eq!(example.check(&site(), "n1"), Ok(()));
         let published = std::fs::read_to_string(format!("{deploy}options.schema.json")).unwrap();
         assert_eq!(published.trim(), Options::schema(), "loomflow schema > deploy/options.schema.json");
     }
--- a/crates/loomflow-simulation/tests/hard_cases.rs
+++ b/crates/loomflow-simulation/tests/hard_cases.rs
@@ -1,8 +1,6 @@
 //! What goes wrong in a fleet, case by case, in virtual time.
 
-use loomflow_fleet::order::Answer;
-use loomflow_fleet::order::rules::{Amount, Rules};
-use loomflow_fleet::order::ticket::{Refusal, Stage, Urgency};
+use loomflow_fleet::order::ticket::{Stage, Urgency};
 use loomflow_simulation::Fault::*;
 use loomflow_simulation::{Script, Shape, World};
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -244,6 +244,12 @@
         }
     }
 
+    /// The load as this module sees it.
+    pub fn load(&self) -> Load {
+        let over_aim = (1.0 - self.share.error).max(0.0);
+        Load { share: self.share.told, over_aim, limit: self.run_limit(), running: self.running }
+    }
+
     /// Ends a batch: answers what is due, then fills the calls and the cores.
     pub fn decide(&mut self, now: f64, out: &mut Vec<Action>) {
         self.now = now;
@@ -571,9 +577,13 @@
         out.push(Action::Run(id));
     }
 
+    fn run_limit(&self) -> f64 {
+        if self.starved() { self.limit.value } else { self.limit.value.max(self.set.cores) }
+    }
+
     fn start_runs(&mut self, out: &mut Vec<Action>) {
         self.limit.value = self.limit.value.min(self.set.cores * self.set.crowd * CROWD_USED);
-        let limit = if self.starved() { self.limit.value } else { self.limit.value.max(self.set.cores) };
+        let limit = self.run_limit();
         loop {
             let counted = self.running + (self.calls.queue.len() + self.calls.later.len()) as f64;
             if counted >= limit || self.running >= self.crowd_room() {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -193,6 +193,18 @@
     pub connections: Option<f64>,
 }
 
+/// How the module sees the server's load, for those who ask; nothing is decided by it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// The share of usual traffic that callers are told, 0 to 1.
+    pub share: f64,
+    /// Hold time over its set point, at the last sample.
+    pub over_aim: f64,
+    /// Runs at once that may be, and that are.
+    pub limit: f64,
+    pub running: f64,
+}
+
 #[derive(Clone, Debug)]
 pub enum Event {
     Arrived(Arrival),
