--- a/crates/loomflow-settings/src/campaign.rs
+++ b/crates/loomflow-settings/src/campaign.rs
@@ -92,7 +92,7 @@
         assert_eq!(duration(&work.lasts), Ok(Duration::from_secs(1200)));
         assert_eq!(span_of(&work.window.unwrap()).unwrap().1, Duration::from_secs(4 * 3600));
         let faults = [
-            (good.replace("20m", "soon"), "for"),
+            (good.replace("20m", "soon"), "lasts"),
             (good.replace("..", "-"), "window"),
             (good.replace("n1", "''"), "server"),
         ];
--- /dev/null
+++ b/crates/loomflow-standins/src/fleet.rs
@@ -0,0 +1,287 @@
+//! Several real servers that form a fleet, each with its engine, and a relay on each link between two of them.
+//!
+//! What happened is judged from outside: by processes and by what their gateways' ports say, not by the fleet's own word.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+
+use crate::base::free_address;
+use crate::relay::{Relay, Trouble};
+use crate::{Worker, World, site};
+
+/// Longer than anything takes; only a failure waits for it.
+pub const LONG: Duration = Duration::from_secs(60);
+
+pub struct Member {
+    pub world: World,
+    pub worker: Worker,
+    /// Its folder.
+    pub state: PathBuf,
+    /// Where it listens for the fleet.
+    pub address: SocketAddr,
+}
+
+pub struct Fleet {
+    pub members: Vec<Member>,
+    /// From the first to the second.
+    relays: Vec<Vec<Option<Relay>>>,
+    folder: PathBuf,
+    pub seed: u64,
+    /// What was done, and when.
+    timeline: Vec<(Instant, String)>,
+}
+
+/// How a fleet is made.
+#[derive(Clone, Copy)]
+pub struct Plan {
+    pub members: usize,
+    pub zones: usize,
+    /// Lines of the options' `fleet` beyond those that every member needs.
+    pub extra: &'static str,
+    pub cores: usize,
+    pub work: Duration,
+    pub seed: u64,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        let extra = "  begin_within_s: 5\n  warm_for_s: 1\n";
+        Plan { members: 3, zones: 1, extra, cores: 4, work: Duration::from_millis(5), seed: 1 }
+    }
+}
+
+fn name(one: usize) -> String {
+    format!("n{}", one + 1)
+}
+
+impl Fleet {
+    /// All members serve; no fleet is founded yet. The first three vote, or the first five of at least five.
+    pub fn start(plan: Plan) -> Fleet {
+        let addresses: Vec<SocketAddr> = (0..plan.members).map(|_| free_address()).collect();
+        let folder = std::env::temp_dir()
+            .join(format!("loomflow-fleet-{}", addresses[0].to_string().replace([':', '.'], "-")));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let relay = |from: usize, to: usize| {
+            let seed = plan.seed.wrapping_mul(0x9E37_79B9).wrapping_add((from * 64 + to) as u64);
+            (from != to).then(|| Relay::start(addresses[to], seed))
+        };
+        let relays: Vec<Vec<Option<Relay>>> =
+            (0..plan.members).map(|from| (0..plan.members).map(|to| relay(from, to)).collect()).collect();
+        let voters = if plan.members >= 5 { 5 } else { 3 };
+        let members = (0..plan.members).map(|one| {
+            let mut settings = site(20_000.0);
+            settings["Domain"]["Cpus"] = plan.cores.into();
+            settings["Domain"]["CallsByClass"] = serde_json::json!([false, false, false]);
+            let mut world = World::new(settings);
+            world.config["name"] = name(one).into();
+            let state = folder.join(name(one));
+            let mut text = format!(
+                "fleet:\n  name: test\n  zone: z{}\n  listen: {}\n  state: {}\n",
+                one % plan.zones,
+                addresses[one],
+                state.display()
+            );
+            text += plan.extra;
+            text += "  voters:\n";
+            for (voter, address) in addresses.iter().enumerate().take(voters) {
+                text += &format!("    - {{name: {}, address: \"{address}\"}}\n", name(voter));
+            }
+            text += "  via:\n";
+            for (to, relay) in relays[one].iter().enumerate() {
+                if let Some(relay) = relay {
+                    text += &format!("    {}: \"{}\"\n", name(to), relay.address);
+                }
+            }
+            world.options(&text);
+            let worker = Worker::start(plan.cores, plan.work);
+            Member { world, worker, state, address: addresses[one] }
+        });
+        let mut fleet =
+            Fleet { members: members.collect(), relays, folder, seed: plan.seed, timeline: Vec::new() };
+        (0..plan.members).for_each(|one| fleet.start_one(one));
+        fleet
+    }
+
+    /// As [`Fleet::start`], with the fleet founded by the first, and all voters in.
+    pub fn founded(plan: Plan) -> Fleet {
+        let fleet = Fleet::start(plan);
+        let (code, _, errors) = fleet.say(0, &["found"]);
+        assert_eq!(code, 0, "{errors}");
+        let all = plan.members;
+        fleet.wait_until("all are here and the voters vote", |fleet| {
+            let status = fleet.status(0);
+            let members = status["members"]
+                .as_array()
+                .map_or(0, |members| members.iter().filter(|member| member["standing"] == "Serving").count());
+            let voters = status["voters"].as_array().map_or(0, Vec::len);
+            status["fresh"] == true && members == all && voters == if all >= 5 { 5 } else { 3 }
+        });
+        fleet
+    }
+
+    pub fn start_one(&mut self, one: usize) {
+        self.note(format!("{} starts", name(one)));
+        let member = &mut self.members[one];
+        let worker = member.worker.clone();
+        member.world.work_with(&worker);
+    }
+
+    pub fn kill(&mut self, one: usize) {
+        self.note(format!("{} is killed", name(one)));
+        self.members[one].world.kill();
+    }
+
+    /// SIGSTOP, and SIGCONT.
+    pub fn stop(&mut self, one: usize) {
+        self.note(format!("{} is stopped", name(one)));
+        self.members[one].world.signal("STOP");
+    }
+
+    pub fn go_on(&mut self, one: usize) {
+        self.note(format!("{} goes on", name(one)));
+        self.members[one].world.signal("CONT");
+    }
+
+    /// Its folder is lost.
+    pub fn lose_folder(&mut self, one: usize) {
+        self.note(format!("{} loses its folder", name(one)));
+        std::fs::remove_dir_all(&self.members[one].state).expect("the folder is removed");
+    }
+
+    /// Trouble on the way from one to another.
+    pub fn trouble(&mut self, from: usize, to: usize, trouble: Trouble) {
+        self.note(format!("from {} to {}: {trouble:?}", name(from), name(to)));
+        if let Some(relay) = &self.relays[from][to] {
+            relay.set(trouble);
+        }
+    }
+
+    /// Trouble between these and all others, both ways.
+    pub fn between(&mut self, side: &[usize], trouble: Trouble) {
+        for from in 0..self.members.len() {
+            for to in 0..self.members.len() {
+                if side.contains(&from) != side.contains(&to) {
+                    self.trouble(from, to, trouble);
+                }
+            }
+        }
+    }
+
+    /// The same on all links.
+    pub fn everywhere(&mut self, trouble: Trouble) {
+        for from in 0..self.members.len() {
+            for to in 0..self.members.len() {
+                self.trouble(from, to, trouble);
+            }
+        }
+    }
+
+    /// All that one said to another is said once more.
+    pub fn say_again(&mut self, from: usize, to: usize) {
+        self.note(format!("{} to {}: all again", name(from), name(to)));
+        if let Some(relay) = &self.relays[from][to] {
+            relay.say_again();
+        }
+    }
+
+    fn note(&mut self, what: String) {
+        self.timeline.push((Instant::now(), what));
+    }
+
+    /// `loomflow fleet …` on a member's machine: exit code, output and errors.
+    pub fn say(&self, one: usize, words: &[&str]) -> (i32, String, String) {
+        let member = &self.members[one];
+        let done = Command::new(&member.world.program)
+            .arg("fleet")
+            .args(words)
+            .arg("--socket")
+            .arg(member.state.with_extension("sock"))
+            .output()
+            .expect("the command runs");
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        (done.status.code().unwrap_or(-1), text(&done.stdout), text(&done.stderr))
+    }
+
+    pub fn status(&self, one: usize) -> Value {
+        serde_json::from_str(&self.say(one, &["status", "--json"]).1).unwrap_or(Value::Null)
+    }
+
+    /// The number of the one who leads, by the word of `one`.
+    pub fn leader(&self, one: usize) -> Option<usize> {
+        let status = self.status(one);
+        let leader = status["leader"].as_str()?;
+        (0..self.members.len()).find(|other| name(*other) == leader)
+    }
+
+    /// Asks for a server's turn, by the word of `one`; gives the ticket.
+    pub fn ask(&mut self, one: usize, server: usize) -> u64 {
+        let words = ["work", "ask", "--server", &name(server), "--reason", "test", "--for", "1m", "--json"];
+        let mut told = (1, String::new(), String::new());
+        self.wait_until("a ticket is taken", |fleet| {
+            told = fleet.say(one, &words);
+            told.0 == 0
+        });
+        self.note(format!("{} asked for by {}", name(server), name(one)));
+        let tickets: Vec<u64> = serde_json::from_str(&told.1).expect("a list of tickets");
+        tickets[0]
+    }
+
+    /// The stage of a ticket, by the word of `one`.
+    pub fn stage(&self, one: usize, ticket: u64) -> String {
+        let (_, history, _) = self.say(one, &["work", "history", "--json"]);
+        let events: Value = serde_json::from_str(&history).unwrap_or(Value::Null);
+        let last =
+            events.as_array().and_then(|all| all.iter().rev().find(|e| e["ticket"] == ticket).cloned());
+        last.map_or(String::new(), |event| event["stage"].as_str().unwrap_or_default().to_owned())
+    }
+
+    /// Whether a process runs.
+    pub fn runs(&mut self, one: usize) -> bool {
+        self.members[one].world.runs()
+    }
+
+    /// Waits for something, generously. The failure tells seed and timeline.
+    pub fn wait_until(&self, what: &str, mut holds: impl FnMut(&Fleet) -> bool) {
+        let until = Instant::now() + LONG;
+        while !holds(self) {
+            assert!(Instant::now() < until, "never: {what}\n{}", self.told());
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    /// Waits until a process has ended by itself, and gives its exit code.
+    pub fn ended(&mut self, one: usize) -> Option<i32> {
+        let until = Instant::now() + LONG;
+        while self.runs(one) {
+            assert!(Instant::now() < until, "{} does not end\n{}", name(one), self.told());
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        self.note(format!("{} has ended", name(one)));
+        self.members[one].world.exit_code()
+    }
+
+    /// Seed, timeline, each member's log and status.
+    pub fn told(&self) -> String {
+        let start = self.timeline.first().map_or_else(Instant::now, |(at, _)| *at);
+        let mut text = format!("seed {}\n", self.seed);
+        for (at, what) in &self.timeline {
+            text += &format!("{:>8.3} {what}\n", at.duration_since(start).as_secs_f64());
+        }
+        for (one, member) in self.members.iter().enumerate() {
+            text += &format!("--- {} at {}\n{}", name(one), member.address, member.world.log());
+            text += &self.say(one, &["status"]).1;
+        }
+        text
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.members.iter_mut().for_each(|member| member.world.kill());
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
--- a/crates/loomflow-standins/src/lib.rs
+++ b/crates/loomflow-standins/src/lib.rs
@@ -5,9 +5,11 @@
 pub mod broker;
 pub mod control;
 pub mod engine;
+pub mod fleet;
 pub mod gateway;
 pub mod ledger;
 pub mod lines;
+pub mod relay;
 pub mod worker;
 
 pub mod world;
--- a/crates/loomflow-standins/src/world.rs
+++ b/crates/loomflow-standins/src/world.rs
@@ -217,6 +217,11 @@
         panic!("the server does not end");
     }
 
+    /// Whether there is a process.
+    pub fn runs(&mut self) -> bool {
+        self.child.is_some() && self.is_running()
+    }
+
     pub fn is_running(&mut self) -> bool {
         self.child.as_mut().is_some_and(|child| child.try_wait().expect("its state").is_none())
     }
