--- a/crates/loomflow-fleet/src/node/mod.rs
+++ b/crates/loomflow-fleet/src/node/mod.rs
@@ -72,7 +72,7 @@
     membership: Membership,
     /// Voters only.
     agreement: Option<Agreement<Order>>,
-    /// Why the folder of a server that is no voter cannot be used.
+    /// Why the folder cannot be used.
     fault: Option<String>,
     rng: SmallRng,
     /// The server's load, and when it was told.
@@ -353,8 +353,21 @@
         }
     }
 
+    /// Says when the folder fails, and when it is good again.
+    fn look_at_folder(&mut self) {
+        let fault = self.agreement.as_ref().and_then(Agreement::fault).map(str::to_owned);
+        if self.agreement.is_some() && fault != self.fault {
+            self.note(match &fault {
+                Some(why) => format!("takes no part in the agreement: {why}"),
+                None => "takes part in the agreement again".into(),
+            });
+            self.fault = fault;
+        }
+    }
+
     /// Sees to all that came of what was just done.
     fn settle(&mut self, now: Ms) {
+        self.look_at_folder();
         for (to, packet) in self.membership.take() {
             self.send_to(&to.name, to.address, Body::Swim(packet));
         }
--- a/crates/loomflow-fleet/src/node/status.rs
+++ b/crates/loomflow-fleet/src/node/status.rs
@@ -77,7 +77,7 @@
             out: order.holders().len() as u32,
             unasked: order.unasked(),
             time: order.time(),
-            fault: self.fault.clone().or_else(|| self.agreement.as_ref()?.fault().map(str::to_owned)),
+            fault: self.fault.clone(),
         }
     }
 }
--- a/crates/loomflow-server/src/fleet/mod.rs
+++ b/crates/loomflow-server/src/fleet/mod.rs
@@ -17,7 +17,6 @@
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use loomflow_fleet::agreement::disk::Disk;
 use loomflow_fleet::member::{Digest, Ms, Phase};
 use loomflow_fleet::node::{Effect, Node, Setup};
 use loomflow_fleet::operator::{Hear, Say};
@@ -68,15 +67,12 @@
             .map_err(|e| fault(&format!("fleet.listen {}", options.listen), e))?;
         let operators = Operators::listen(&options.socket(), poll.registry())
             .map_err(|e| fault(&format!("fleet.state: {}", options.socket().display()), e))?;
+        // A limit on the size of files is a full disk, and not the end of the process.
+        signal_hook::flag::register(signal_hook::consts::SIGXFSZ, Arc::default())
+            .map_err(|e| fault("fleet: signals", e))?;
         let (told, hears) = sync_channel(MAILBOX);
         let setup = setup(config, options);
-        let disk: Box<dyn Disk> = match store::Store::open(&options.state) {
-            Ok(store) => Box::new(store),
-            Err(why) => {
-                log!(part = "fleet", why, "the folder cannot be used, and this server has no vote");
-                Box::new(store::Later(options.state.clone()))
-            }
-        };
+        let disk = Box::new(store::Store::new(&options.state));
         let driver = move || {
             let now = boot_ms();
             let node = Node::start(setup, disk, now);
--- a/crates/loomflow-server/src/fleet/store.rs
+++ b/crates/loomflow-server/src/fleet/store.rs
@@ -11,100 +11,96 @@
 /// What the library may hold of the file in memory, bytes.
 const CACHE: usize = 256 * 1024;
 
+/// Opened when it is first wanted, and anew after every error: the library takes no more steps after one.
 pub struct Store {
-    database: Database,
+    folder: PathBuf,
+    database: Option<Database>,
 }
 
-fn words(e: impl std::fmt::Display) -> String {
-    e.to_string()
+/// Opens the file, made where there is none.
+fn open(folder: &Path) -> Result<Database, redb::Error> {
+    std::fs::create_dir_all(folder)?;
+    let mut builder = Database::builder();
+    builder.set_cache_size(CACHE);
+    let database = builder.create(folder.join(FILE))?;
+    // So that there is something to read from the first time on.
+    let begin = database.begin_write()?;
+    begin.open_table(LOG)?;
+    begin.open_table(KEPT)?;
+    begin.commit()?;
+    Ok(database)
 }
 
 impl Store {
-    /// Opens the folder, made where there is none. Errors: in words, with the file.
-    pub fn open(folder: &Path) -> Result<Store, String> {
-        let named = |e: String| format!("{}: {e}", folder.join(FILE).display());
-        std::fs::create_dir_all(folder).map_err(|e| named(words(e)))?;
-        let mut builder = Database::builder();
-        builder.set_cache_size(CACHE);
-        let database = builder.create(folder.join(FILE)).map_err(|e| named(words(e)))?;
-        // So that there is something to read from the first time on.
-        let begin = database.begin_write().map_err(|e| named(words(e)))?;
-        begin.open_table(LOG).map_err(|e| named(words(e)))?;
-        begin.open_table(KEPT).map_err(|e| named(words(e)))?;
-        begin.commit().map_err(|e| named(words(e)))?;
-        Ok(Store { database })
+    pub fn new(folder: &Path) -> Store {
+        Store { folder: folder.to_owned(), database: None }
     }
 
-    fn all(&self) -> Result<Image, redb::Error> {
-        let read = self.database.begin_read()?;
-        let kept = read.open_table(KEPT)?;
-        let get = |key: &str| -> Result<Option<Vec<u8>>, redb::Error> {
-            Ok(kept.get(key)?.map(|bytes| bytes.value().to_vec()))
+    /// Does something with the file. Errors: in words, with the file.
+    fn with<T>(&mut self, what: impl FnOnce(&Database) -> Result<T, redb::Error>) -> Result<T, String> {
+        let file = self.folder.join(FILE);
+        let named = |e: redb::Error| format!("{}: {}", file.display(), e);
+        let database = match self.database.take() {
+            Some(database) => database,
+            None => open(&self.folder).map_err(named)?,
         };
-        let stamp = get("stamp")?.and_then(|bytes| Stamp::decode(&bytes));
-        let mut entries = Vec::new();
-        for entry in read.open_table(LOG)?.iter()? {
-            let (index, bytes) = entry?;
-            entries.push((index.value(), bytes.value().to_vec()));
-        }
-        Ok(Image {
-            stamp: stamp.unwrap_or_default(),
-            hard: get("hard")?,
-            snapshot: get("snapshot")?,
-            entries,
-        })
-    }
-
-    fn step(&self, write: &Write) -> Result<(), redb::Error> {
-        let step = self.database.begin_write()?;
-        {
-            let mut kept = step.open_table(KEPT)?;
-            if let Some(stamp) = write.stamp {
-                kept.insert("stamp", stamp.encode().as_slice())?;
-            }
-            if let Some(hard) = &write.hard {
-                kept.insert("hard", hard.as_slice())?;
-            }
-            let mut log = step.open_table(LOG)?;
-            if write.anew {
-                log.retain(|_, _| false)?;
-            }
-            if let Some((index, snapshot)) = &write.snapshot {
-                kept.insert("snapshot", snapshot.as_slice())?;
-                log.retain_in(..=*index, |_, _| false)?;
-            }
-            if let Some((first, _)) = write.entries.first() {
-                log.retain_in(*first.., |_, _| false)?;
-            }
-            for (index, bytes) in &write.entries {
-                log.insert(index, bytes.as_slice())?;
-            }
-        }
-        step.commit()?;
-        Ok(())
+        let done = what(&database).map_err(named)?;
+        self.database = Some(database);
+        Ok(done)
     }
 }
 
-impl Disk for Store {
-    fn read(&mut self) -> Result<Image, String> {
-        self.all().map_err(words)
+fn all(database: &Database) -> Result<Image, redb::Error> {
+    let read = database.begin_read()?;
+    let kept = read.open_table(KEPT)?;
+    let get = |key: &str| -> Result<Option<Vec<u8>>, redb::Error> {
+        Ok(kept.get(key)?.map(|bytes| bytes.value().to_vec()))
+    };
+    let stamp = get("stamp")?.and_then(|bytes| Stamp::decode(&bytes));
+    let mut entries = Vec::new();
+    for entry in read.open_table(LOG)?.iter()? {
+        let (index, bytes) = entry?;
+        entries.push((index.value(), bytes.value().to_vec()));
     }
+    Ok(Image { stamp: stamp.unwrap_or_default(), hard: get("hard")?, snapshot: get("snapshot")?, entries })
+}
 
-    fn write(&mut self, write: &Write) -> Result<(), String> {
-        self.step(write).map_err(words)
+fn step(database: &Database, write: &Write) -> Result<(), redb::Error> {
+    let step = database.begin_write()?;
+    {
+        let mut kept = step.open_table(KEPT)?;
+        if let Some(stamp) = write.stamp {
+            kept.insert("stamp", stamp.encode().as_slice())?;
+        }
+        if let Some(hard) = &write.hard {
+            kept.insert("hard", hard.as_slice())?;
+        }
+        let mut log = step.open_table(LOG)?;
+        if write.anew {
+            log.retain(|_, _| false)?;
+        }
+        if let Some((index, snapshot)) = &write.snapshot {
+            kept.insert("snapshot", snapshot.as_slice())?;
+            log.retain_in(..=*index, |_, _| false)?;
+        }
+        if let Some((first, _)) = write.entries.first() {
+            log.retain_in(*first.., |_, _| false)?;
+        }
+        for (index, bytes) in &write.entries {
+            log.insert(index, bytes.as_slice())?;
+        }
     }
+    step.commit()?;
+    Ok(())
 }
 
-/// A folder that could not be opened: tried again whenever it is wanted.
-pub struct Later(pub PathBuf);
-
-impl Disk for Later {
+impl Disk for Store {
     fn read(&mut self) -> Result<Image, String> {
-        Store::open(&self.0)?.read()
+        self.with(all)
     }
 
     fn write(&mut self, write: &Write) -> Result<(), String> {
-        Store::open(&self.0)?.write(write)
+        self.with(|database| step(database, write))
     }
 }
 
@@ -121,7 +117,7 @@
         let mut rng = fastrand::Rng::with_seed(7);
         let (mut image, mut next) = (Image::default(), 1u64);
         for round in 0..60 {
-            let mut store = Store::open(&folder).unwrap();
+            let mut store = Store::new(&folder);
             let first = rng.u64(next.saturating_sub(3).max(1)..=next);
             let count = rng.u64(0..5);
             next = if count > 0 { first + count } else { next };
@@ -144,7 +140,7 @@
     fn a_folder_that_cannot_be_made_is_named() {
         let file = std::env::temp_dir().join(format!("loomflow-no-folder-{}", std::process::id()));
         std::fs::write(&file, "").unwrap();
-        let error = Store::open(&file.join("below")).err().unwrap();
+        let error = Store::new(&file.join("below")).read().unwrap_err();
         let _ = std::fs::remove_file(&file);
         assert!(error.contains("below"), "{error}");
     }
--- a/crates/loomflow-server/tests/deploy.rs
+++ b/crates/loomflow-server/tests/deploy.rs
@@ -50,6 +50,14 @@
     text.lines().skip(1).filter_map(inode).filter(|one| inodes.contains(one)).count()
 }
 
+/// The files of a disk that a process holds open.
+fn files_held(pid: u32) -> Vec<String> {
+    let held = std::fs::read_dir(format!("/proc/{pid}/fd")).expect("its descriptors");
+    let paths = held.filter_map(|one| std::fs::read_link(one.ok()?.path()).ok());
+    let paths = paths.map(|path| path.display().to_string());
+    paths.filter(|path| path.starts_with('/') && !path.starts_with("/dev/")).collect()
+}
+
 /// An address as `/proc/net/tcp` writes it: the IPv4 address in the host's order, then the port, in hex.
 fn as_written(address: std::net::SocketAddr) -> String {
     let std::net::SocketAddr::V4(v4) = address else { panic!("an IPv4 address") };
@@ -96,6 +104,11 @@
     assert_eq!(rows_held(pid, "tcp6", &inodes), [], "no IPv6 sockets");
     assert_eq!(rows_held(pid, "udp6", &inodes), [], "no IPv6 sockets");
     assert_eq!(unix_held(pid, &inodes), 0, "no Unix sockets");
+    // Nothing of a fleet: no thread of it, no folder or file that is written to.
+    let threads = thread_states(pid);
+    assert!(threads.iter().all(|(thread, _)| !thread.contains("fleet")), "{threads:?}");
+    assert_eq!(threads.len(), 4, "{threads:?}");
+    assert_eq!(files_held(pid), Vec::<String>::new(), "no files are held open");
     // Engine, ledger and control plane are the only links out; no AMQP link or other front.
     assert!(outward.len() <= 3, "{} links out: {outward:?}", outward.len());
 }
--- a/crates/loomflow-standins/src/fleet.rs
+++ b/crates/loomflow-standins/src/fleet.rs
@@ -2,11 +2,14 @@
 //!
 //! What happened is judged from outside: by processes and by what their gateways' ports say, not by the fleet's own word.
 
+use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
+use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 use std::process::Command;
 use std::time::{Duration, Instant};
 
+use rustix::process::{Pid, Resource, Rlimit, prlimit};
 use serde_json::Value;
 
 use crate::base::free_address;
@@ -152,6 +155,14 @@
         std::fs::remove_dir_all(&self.members[one].state).expect("the folder is removed");
     }
 
+    /// Nothing more can be written to its folder, or again: a limit on the size of files stands in for a disk.
+    pub fn fill_disk(&mut self, one: usize, full: bool) {
+        self.note(format!("the disk of {} is {}", name(one), if full { "full" } else { "free" }));
+        let pid = Pid::from_raw(self.members[one].world.pid() as i32);
+        let limit = Rlimit { current: full.then_some(0), maximum: None };
+        prlimit(pid, Resource::Fsize, limit).expect("a limit");
+    }
+
     /// Trouble on the way from one to another.
     pub fn trouble(&mut self, from: usize, to: usize, trouble: Trouble) {
         self.note(format!("from {} to {}: {trouble:?}", name(from), name(to)));
@@ -210,6 +221,16 @@
         serde_json::from_str(&self.say(one, &["status", "--json"]).1).unwrap_or(Value::Null)
     }
 
+    /// What a member sees by itself, with a leader or without.
+    pub fn here(&self, one: usize) -> Value {
+        let socket = self.members[one].state.with_extension("sock");
+        let Ok(mut stream) = UnixStream::connect(socket) else { return Value::Null };
+        let _ = stream.write_all(b"\"Here\"\n");
+        let mut line = String::new();
+        let _ = BufReader::new(stream).read_line(&mut line);
+        serde_json::from_str::<Value>(&line).map_or(Value::Null, |told| told["Here"].clone())
+    }
+
     /// The number of the one who leads, by the word of `one`.
     pub fn leader(&self, one: usize) -> Option<usize> {
         let status = self.status(one);
