--- a/crates/loomflow-fleet/src/order/ticket.rs
+++ b/crates/loomflow-fleet/src/order/ticket.rs
@@ -20,7 +20,7 @@
     Broken,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Stage {
     Asked,
     /// May go: its place is kept until it begins, or the grant lapses.
