--- /dev/null
+++ b/crates/loomflow-load/src/fleet.rs
@@ -0,0 +1,221 @@
+//! Load for a fleet: gateways that know all its servers, pass by one that says it leaves or is gone, and ask another one
+//! where a request was turned away or its connection broke. Requests are of a class without effect, so that this is right.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io::Write;
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use loomflow_standins::worker::result_of;
+use loomflow_standins::{Gateway, call, fields, fresh_id};
+
+use crate::{Ending, Heard, Plan};
+
+/// A request is asked of so many servers at the most.
+const MOST_TRIES: u32 = 6;
+/// A server that could not be reached is tried again after this.
+const AGAIN: Duration = Duration::from_millis(100);
+/// Requests open on one connection.
+const MOST_OPEN: usize = 32;
+
+struct Open {
+    asked: Instant,
+    body: Vec<u8>,
+    tries: u32,
+}
+
+/// One server as the gateways see it.
+#[derive(Default)]
+struct Server {
+    stream: Option<TcpStream>,
+    /// Names the connection, so that one that ended says nothing of the next.
+    life: u64,
+    /// By connection and tag.
+    open: BTreeMap<(u64, u64), Open>,
+}
+
+struct Shared {
+    servers: Vec<Mutex<Server>>,
+    addresses: Vec<SocketAddr>,
+    again: Mutex<VecDeque<Open>>,
+    heard: Mutex<Heard>,
+    over: AtomicBool,
+    tags: AtomicU64,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+/// Load that runs until it is told to end.
+pub struct Running {
+    shared: Arc<Shared>,
+    threads: Vec<thread::JoinHandle<()>>,
+    patience: Duration,
+}
+
+/// Starts a plan against servers; its span is the longest that it runs.
+pub fn start(servers: Vec<SocketAddr>, plan: Plan, patience: Duration) -> Running {
+    assert!(servers.iter().all(|one| one.ip().is_loopback()), "load goes to loopback only");
+    let shared = Arc::new(Shared {
+        servers: servers.iter().map(|_| Mutex::default()).collect(),
+        addresses: servers,
+        again: Mutex::default(),
+        heard: Mutex::new(Heard::new(Instant::now(), plan.aim)),
+        over: AtomicBool::new(false),
+        tags: AtomicU64::new(0),
+    });
+    let (asks, connects) = (shared.clone(), shared.clone());
+    let threads = vec![thread::spawn(move || connect(&connects)), thread::spawn(move || ask(&asks, &plan))];
+    Running { shared, threads, patience }
+}
+
+impl Running {
+    /// What came so far.
+    pub fn heard<T>(&self, look: impl FnOnce(&Heard) -> T) -> T {
+        look(&lock(&self.shared.heard))
+    }
+
+    /// Asks nothing more, waits for what is open, and gives what came of all.
+    pub fn end(self) -> Heard {
+        let until = Instant::now() + self.patience;
+        self.shared.over.store(true, Ordering::Release);
+        let open = || self.shared.servers.iter().any(|one| !lock(one).open.is_empty());
+        while Instant::now() < until && (open() || !lock(&self.shared.again).is_empty()) {
+            thread::sleep(Duration::from_millis(10));
+        }
+        let mut heard = lock(&self.shared.heard);
+        let now = Instant::now();
+        for server in &self.shared.servers {
+            let mut server = lock(server);
+            for one in std::mem::take(&mut server.open).into_values() {
+                heard.end(one.asked, Ending::Lost, now);
+            }
+            server.stream.take().map(|stream| stream.shutdown(Shutdown::Both));
+        }
+        for one in lock(&self.shared.again).drain(..) {
+            heard.end(one.asked, Ending::Lost, now);
+        }
+        let done = std::mem::replace(&mut *heard, Heard::new(now, Duration::ZERO));
+        drop(heard);
+        drop(self.threads);
+        done
+    }
+}
+
+/// Keeps a connection to every server that can be reached.
+fn connect(shared: &Arc<Shared>) {
+    while !shared.over.load(Ordering::Acquire) {
+        for (number, address) in shared.addresses.iter().enumerate() {
+            if lock(&shared.servers[number]).stream.is_some() {
+                continue;
+            }
+            let Ok(stream) = TcpStream::connect_timeout(address, AGAIN) else { continue };
+            let _ = stream.set_nodelay(true);
+            let Ok(reader) = stream.try_clone() else { continue };
+            let mut server = lock(&shared.servers[number]);
+            server.life += 1;
+            server.stream = Some(stream);
+            let (shared, life) = (shared.clone(), server.life);
+            thread::spawn(move || read(&shared, number, life, Gateway::of(reader)));
+        }
+        thread::sleep(AGAIN);
+    }
+}
+
+fn ask(shared: &Arc<Shared>, plan: &Plan) {
+    let start = Instant::now();
+    let (mut due, mut number, mut turn) = (0.0, 0, 0);
+    while start.elapsed() < plan.span && !shared.over.load(Ordering::Acquire) {
+        let waiting = lock(&shared.again).pop_front();
+        if let Some(one) = waiting {
+            say(shared, plan, one, &mut turn);
+            continue;
+        }
+        let now = start.elapsed().as_secs_f64();
+        if now < due {
+            thread::sleep(Duration::from_secs_f64((due - now).min(0.002)));
+            continue;
+        }
+        due += 1.0 / plan.rate(due).max(0.1);
+        number += 1;
+        let one = Open { asked: Instant::now(), body: plan.body(number), tries: 0 };
+        lock(&shared.heard).ask(one.body.clone(), one.asked);
+        say(shared, plan, one, &mut turn);
+    }
+    // What is turned away at the end is asked elsewhere all the same.
+    while !shared.over.load(Ordering::Acquire) || !lock(&shared.again).is_empty() {
+        let waiting = lock(&shared.again).pop_front();
+        match waiting {
+            Some(one) => say(shared, plan, one, &mut turn),
+            None => thread::sleep(Duration::from_millis(5)),
+        }
+        if shared.servers.iter().all(|one| lock(one).stream.is_none()) && start.elapsed() > plan.span {
+            return;
+        }
+    }
+}
+
+/// Asks the next server that is there and has room.
+fn say(shared: &Shared, plan: &Plan, mut one: Open, turn: &mut usize) {
+    one.tries += 1;
+    for _ in 0..shared.servers.len() {
+        *turn = (*turn + 1) % shared.servers.len();
+        let mut server = lock(&shared.servers[*turn]);
+        let Server { stream, life, open } = &mut *server;
+        let Some(to) = stream.as_mut().filter(|_| open.len() < MOST_OPEN) else { continue };
+        let tag = shared.tags.fetch_add(1, Ordering::Relaxed) + 1;
+        if to.write_all(&call(tag, plan.class, &fields(&fresh_id()), &one.body)).is_ok() {
+            open.insert((*life, tag), one);
+            return;
+        }
+        *stream = None;
+    }
+    // Nobody is there: once more after the others.
+    if one.tries < MOST_TRIES * 4 {
+        thread::sleep(Duration::from_millis(5));
+        lock(&shared.again).push_back(one);
+    } else {
+        lock(&shared.heard).end(one.asked, Ending::Lost, Instant::now());
+    }
+}
+
+fn read(shared: &Shared, number: usize, life: u64, mut gateway: Gateway) {
+    loop {
+        let answer = match gateway.next(Duration::from_millis(500)) {
+            Ok(Some(answer)) => answer,
+            Err(_) if !shared.over.load(Ordering::Acquire) => continue,
+            _ => break,
+        };
+        if answer.word == "BYE" {
+            // What is open there is still answered; nothing new goes there.
+            let mut server = lock(&shared.servers[number]);
+            if server.life == life {
+                server.stream = None;
+            }
+            continue;
+        }
+        let Some(one) = lock(&shared.servers[number]).open.remove(&(life, answer.tag)) else { continue };
+        match answer.word.as_str() {
+            "OK" if answer.body == result_of(&one.body) => {
+                lock(&shared.heard).end(one.asked, Ending::Served, Instant::now());
+            }
+            "OK" => lock(&shared.heard).end(one.asked, Ending::Wrong, Instant::now()),
+            "BUSY" if one.tries < MOST_TRIES => lock(&shared.again).push_back(one),
+            "BUSY" => lock(&shared.heard).end(one.asked, Ending::Refused, Instant::now()),
+            _ => lock(&shared.heard).end(one.asked, Ending::Failed, Instant::now()),
+        }
+    }
+    let mut server = lock(&shared.servers[number]);
+    if server.life == life {
+        server.stream = None;
+    }
+    let (own, others) = std::mem::take(&mut server.open).into_iter().partition(|((of, _), _)| *of == life);
+    server.open = others;
+    drop(server);
+    let own: BTreeMap<(u64, u64), Open> = own;
+    lock(&shared.again).extend(own.into_values());
+}
--- a/crates/loomflow-load/src/lib.rs
+++ b/crates/loomflow-load/src/lib.rs
@@ -2,10 +2,12 @@
 //! (open loop), and what came of them second by second. Bounded in count and time, and only to loopback.
 
 mod aside;
+pub mod fleet;
 mod heard;
 mod plan;
 pub mod queue;
 pub mod resp;
+pub mod rounds;
 pub mod scenario;
 
 pub use aside::Aside;
--- a/crates/loomflow-server/src/main.rs
+++ b/crates/loomflow-server/src/main.rs
@@ -29,7 +29,7 @@
 usage: loomflow <command> [--config FILE] [--options FILE]
 
   try            see it work: ten seconds among stand-ins on loopback, and a table
-                 (--front amqp: by way of a queue)
+                 (--front amqp: by way of a queue; --fleet: five servers, each taken out in turn)
   serve          run one server until it is told to leave by SIGTERM
   check-config   read the configuration, say what is wrong with it, serve nothing
                  (--against FILE: and what of it a server with that one would take up)
@@ -46,6 +46,8 @@
 enum Command {
     #[cfg(feature = "try")]
     Try(loomflow_load::Front),
+    #[cfg(feature = "try")]
+    TryFleet,
     Serve(Files),
     CheckConfig(Files, Option<PathBuf>),
     Schema,
@@ -79,7 +81,7 @@
 fn command(mut parser: lexopt::Parser) -> Result<Command, String> {
     let from = |name| std::env::var_os(name).map(PathBuf::from);
     let (mut name, mut config, mut options) = (None, from("PROXY_CONFIG"), from("LOOMFLOW_OPTIONS"));
-    let (mut front, mut against) = (None, None);
+    let (mut front, mut against, mut fleet) = (None, None, false);
     while let Some(arg) = parser.next().map_err(|e| e.to_string())? {
         match arg {
             Short('h') | Long("help") => return Ok(Command::Help),
@@ -87,6 +89,7 @@
             Long("config") => config = Some(parser.value().map_err(|e| e.to_string())?.into()),
             Long("options") => options = Some(parser.value().map_err(|e| e.to_string())?.into()),
             Long("against") => against = Some(parser.value().map_err(|e| e.to_string())?.into()),
+            Long("fleet") => fleet = true,
             Long("front") => front = Some(parser.value().map_err(|e| e.to_string())?),
             Value(word) if name.is_none() && word == "fleet" => return Ok(Command::Fleet(parser)),
             Value(word) if name.is_none() => name = Some(word.to_string_lossy().into_owned()),
@@ -97,12 +100,15 @@
     let files = config.map(|config| Files { config, options });
     let front = front.as_ref().map(|front| front.to_string_lossy());
     match name.as_deref() {
+        #[cfg(feature = "try")]
+        Some("try") if fleet => Ok(Command::TryFleet),
         #[cfg(feature = "try")]
         Some("try") => match front.as_deref() {
             None | Some("resp") => Ok(Command::Try(loomflow_load::Front::Resp)),
             Some("amqp") => Ok(Command::Try(loomflow_load::Front::Amqp)),
             Some(other) => Err(format!("unknown front {other:?}: resp or amqp")),
         },
+        _ if fleet => Err("--fleet is for try".into()),
         _ if front.is_some() => Err("--front is for try".into()),
         Some("serve") => Ok(Command::Serve(files?)),
         Some("check-config") => Ok(Command::CheckConfig(files?, against)),
@@ -145,6 +151,11 @@
 
 fn main() -> ExitCode {
     let done = match command(lexopt::Parser::from_env()) {
+        #[cfg(feature = "try")]
+        Ok(Command::TryFleet) => match trial::fleet() {
+            Ok(code) => return code,
+            Err(why) => Err(why),
+        },
         #[cfg(feature = "try")]
         Ok(Command::Try(by)) => match trial::run(by) {
             Ok(code) => return code,
--- a/crates/loomflow-server/src/trial.rs
+++ b/crates/loomflow-server/src/trial.rs
@@ -1,11 +1,13 @@
 //! `loomflow try`: the server among stand-ins on loopback, ten seconds of requests that double in the middle, and a
-//! table of what came of them. Linked in behind the feature `try`.
+//! table of what came of them; `--fleet`: a fleet whose servers go out for work in turn. Linked in behind the feature
+//! `try`.
 
 use std::process::ExitCode;
 use std::time::Duration;
 
 use comfy_table::{CellAlignment, Table, presets};
-use loomflow_load::{Front, Played, Scenario, Tally};
+use loomflow_load::{Front, Plan, Played, Scenario, Tally, rounds};
+use loomflow_standins::fleet::{self, Fleet};
 
 /// Three quarters of what the engine does, and twice that from the fourth second to the seventh.
 const RATES: [(f64, f64); 3] = [(0.0, 300.0), (BURST.0 as f64, 600.0), (BURST.1 as f64, 300.0)];
@@ -47,6 +49,61 @@
     Ok(if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
+/// Five servers that form a fleet, each taken out once under load, one killed in the middle.
+pub fn fleet() -> Result<ExitCode, String> {
+    let program = std::env::current_exe().map_err(|e| format!("this program cannot be found: {e}"))?;
+    let plan = fleet::Plan {
+        members: 5,
+        zones: 2,
+        cores: 2,
+        work: Duration::from_millis(20),
+        extra: "  begin_within_s: 10\n  warm_for_s: 1\n",
+        ..fleet::Plan::default()
+    };
+    println!("Five servers of two cores that do 100 requests a second each are asked for 250 in all.");
+    println!(
+        "One may be out at once. Each is taken out for two seconds of work; one is killed in the middle.\n"
+    );
+    let mut fleet = Fleet::start_with(plan, &program).found(plan);
+    let listens = fleet.members.iter().map(|member| member.world.listen).collect();
+    let load = Plan {
+        class: "read",
+        rates: vec![(0.0, 250.0)],
+        span: Duration::from_secs(600),
+        connections: 1,
+        aim: Duration::from_secs(1),
+        prefix: "r",
+    };
+    let load = loomflow_load::fleet::start(listens, load, Duration::from_secs(5));
+    std::thread::sleep(Duration::from_secs(2));
+    let round = rounds::Round {
+        work: Duration::from_secs(2),
+        kill_after: Some(Duration::from_secs(10)),
+        limit: Duration::from_secs(300),
+    };
+    let seen = rounds::play(&mut fleet, &round);
+    let heard = load.end().total();
+    for (at, what) in &seen.timeline {
+        println!("{:>7.1} s  {what}", at.as_secs_f64());
+    }
+    println!("\n{}", fleet.say(0, &["work", "history"]).1);
+    println!(
+        "Of {} requests {} were answered in time, {} late, {} refused, {} failed, {} lost.",
+        heard.asked, heard.in_time, heard.late, heard.refused, heard.failed, heard.lost
+    );
+    let rules = [
+        ("each went once and came back", seen.complete),
+        ("never more than one out at once", seen.most_out <= 1),
+        ("each ended with code 0", seen.bad_ends == 0),
+        ("every request has one final answer", heard.lost == 0 && heard.wrong == 0),
+    ];
+    for (rule, kept) in rules {
+        println!("{} {rule}", if kept { "kept  " } else { "BROKEN" });
+    }
+    let kept = rules.iter().all(|(_, kept)| *kept);
+    Ok(if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
 fn print(played: &Played, front: Front) {
     let mut table = Table::new();
     table.load_preset(presets::NOTHING);
--- a/crates/loomflow-standins/src/fleet.rs
+++ b/crates/loomflow-standins/src/fleet.rs
@@ -5,7 +5,7 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::time::{Duration, Instant};
 
@@ -62,8 +62,13 @@
 }
 
 impl Fleet {
-    /// All members serve; no fleet is founded yet. The first three vote, or the first five of at least five.
+    /// As [`Fleet::start_with`], with the program beside the tests.
     pub fn start(plan: Plan) -> Fleet {
+        Fleet::start_with(plan, &crate::program())
+    }
+
+    /// All members serve; no fleet is founded yet. The first three vote, or the first five of at least five.
+    pub fn start_with(plan: Plan, program: &Path) -> Fleet {
         let addresses: Vec<SocketAddr> = (0..plan.members).map(|_| free_address()).collect();
         let folder = std::env::temp_dir()
             .join(format!("loomflow-fleet-{}", addresses[0].to_string().replace([':', '.'], "-")));
@@ -80,6 +85,7 @@
             settings["Domain"]["Cpus"] = plan.cores.into();
             settings["Domain"]["CallsByClass"] = serde_json::json!([false, false, false]);
             let mut world = World::new(settings);
+            world.program = program.to_owned();
             world.config["name"] = name(one).into();
             let state = folder.join(name(one));
             let mut text = format!(
@@ -111,7 +117,12 @@
 
     /// As [`Fleet::start`], with the fleet founded by the first, and all voters in.
     pub fn founded(plan: Plan) -> Fleet {
-        let fleet = Fleet::start(plan);
+        Fleet::start(plan).found(plan)
+    }
+
+    /// Founds the fleet by the first, and waits until all voters are in.
+    pub fn found(self, plan: Plan) -> Fleet {
+        let fleet = self;
         let (code, _, errors) = fleet.say(0, &["found"]);
         assert_eq!(code, 0, "{errors}");
         let all = plan.members;
--- a/crates/loomflow-standins/src/gateway.rs
+++ b/crates/loomflow-standins/src/gateway.rs
@@ -69,6 +69,11 @@
         }
     }
 
+    /// On a connection that is open already.
+    pub fn of(stream: TcpStream) -> Gateway {
+        Gateway { stream, unread: Vec::new() }
+    }
+
     pub fn send(&mut self, bytes: &[u8]) {
         self.stream.write_all(bytes).expect("the server reads");
     }
