--- a/crates/loomflow-measure/src/main.rs
+++ b/crates/loomflow-measure/src/main.rs
@@ -3,6 +3,7 @@
 
 mod against;
 mod amqp;
+mod order;
 mod overload;
 mod process;
 mod report;
@@ -14,6 +15,7 @@
 const USAGE: &str = "\
 usage: loomflow-measure NAME [--quick]
   amqp             the AMQP front: rules, cost, overload, a long queue
+  order            machines taken out for work: rounds under load and under faults, simulation, cost
   overload [PROGRAM]  answers in time on both fronts beyond what the engine does; beside another build
   against PROGRAM  this build of the server against another one, by RESP";
 
@@ -35,6 +37,7 @@
     let played = match asked() {
         Ok((name, what, quick)) => match (name.as_str(), what) {
             ("overload", other) => Ok(overload::measure(quick, process::program(), other.map(Into::into))),
+            ("order", None) => Ok(order::measure(quick, &process::program())),
             ("amqp", None) => Ok(amqp::measure(quick)),
             ("against", Some(other)) => Ok(against::measure(quick, process::program(), &other)),
             ("against", None) => Err("against which program?".to_owned()),
--- /dev/null
+++ b/crates/loomflow-measure/src/order/simulated.rs
@@ -0,0 +1,238 @@
+//! The fleet in virtual time: many seeds, large fleets, long hours, and headroom against "N at once".
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Instant;
+
+use loomflow_fleet::order::rules::{Amount, Rules};
+use loomflow_fleet::order::ticket::{Stage, Urgency};
+use loomflow_simulation::{Fault, Script, Shape, World};
+
+use crate::report::Report;
+
+pub fn measure(report: &mut Report, quick: bool) {
+    seeds(report, quick);
+    size(report, quick);
+    deaths(report, quick);
+    headroom(report);
+}
+
+/// Plays something for each number on all cores.
+fn abreast<T: Send>(numbers: std::ops::Range<u64>, play: impl Fn(u64) -> T + Sync) -> Vec<T> {
+    let next = AtomicU64::new(numbers.start);
+    let done = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..std::thread::available_parallelism().map_or(1, usize::from) {
+            scope.spawn(|| {
+                loop {
+                    let number = next.fetch_add(1, Ordering::Relaxed);
+                    if number >= numbers.end {
+                        return;
+                    }
+                    let one = play(number);
+                    done.lock().unwrap_or_else(|e| e.into_inner()).push(one);
+                }
+            });
+        }
+    });
+    done.into_inner().unwrap_or_else(|e| e.into_inner())
+}
+
+/// Days of faults: small fleets in full, larger ones for as long as the machine allows.
+fn seeds(report: &mut Report, quick: bool) {
+    let counts: [(usize, u64); 4] = if quick {
+        [(6, 420), (30, 70), (300, 8), (1_000, 2)]
+    } else {
+        [(6, 8_000), (30, 1_900), (300, 84), (1_000, 16)]
+    };
+    let mut rows = Vec::new();
+    let mut violations = 0;
+    for (machines, count) in counts {
+        let began = Instant::now();
+        let failed: Vec<String> = abreast(0..count, |seed| {
+            let voters = if machines >= 5 { 5 } else { 3 };
+            let shape = Shape { machines, voters, zones: 3, drift: 0.001, ..Shape::default() };
+            // A few of the many ask: what is looked for is what breaks, not how long all take.
+            let mut script = Script::drawn(seed, machines, voters, 12_000, 40_000);
+            if let Some((_, Fault::Ask(who, _))) = script.steps.first_mut() {
+                who.truncate(8);
+            }
+            let mut world = World::new(shape, seed);
+            world.witness.thorough = machines <= 30;
+            world.play(&script, 60_000).err().map(|what| format!("{machines} members, seed {seed}: {what}"))
+        })
+        .into_iter()
+        .flatten()
+        .collect();
+        failed.iter().take(1).for_each(|what| println!("{what}"));
+        violations += failed.len();
+        rows.push(vec![
+            machines.to_string(),
+            count.to_string(),
+            failed.len().to_string(),
+            format!("{:.0}", began.elapsed().as_secs_f64()),
+        ]);
+    }
+    report.table("Days of faults in virtual time", &["members", "seeds", "violations", "took s"], rows);
+    report.at_most("sim_violations", violations as f64, 0.0);
+}
+
+/// Messages and bytes that a member sends in a second of a quiet fleet.
+fn size(report: &mut Report, quick: bool) {
+    let span = if quick { 20_000 } else { 60_000 };
+    let mut rows = Vec::new();
+    let mut figures = Vec::new();
+    for machines in [30, 300, 1_000] {
+        let mut world = World::new(Shape { machines, voters: 5, zones: 3, ..Shape::default() }, 3);
+        world.witness.thorough = false;
+        // Forming is over by then.
+        let formed = 40_000;
+        let _ = world.go(formed);
+        let (messages, bytes) = world.traffic();
+        let began = Instant::now();
+        let _ = world.go(formed + span);
+        let core = began.elapsed().as_secs_f64() / (span as f64 / 1000.0) / machines as f64;
+        let (more, more_bytes) = world.traffic();
+        let each = |count: u64| count as f64 / machines as f64 / (span as f64 / 1000.0);
+        let one = (each(more - messages), each(more_bytes - bytes), core);
+        rows.push(vec![
+            machines.to_string(),
+            format!("{:.1}", one.0),
+            format!("{:.0}", one.1),
+            format!("{:.4}", 100.0 * one.2),
+        ]);
+        figures.push(one);
+    }
+    report.table(
+        "A member of a quiet fleet, each second",
+        &["members", "messages", "bytes", "% of a core, the simulation's part included"],
+        rows,
+    );
+    report.at_most("messages_1000_over_30", figures[2].0 / figures[0].0, 1.3);
+    report.at_most("bytes_1000_over_30", figures[2].1 / figures[0].1, 1.3);
+    report.at_most("core_at_300", figures[1].2, 0.01);
+}
+
+/// How soon a death is known to all, and who is taken for dead that is not.
+fn deaths(report: &mut Report, quick: bool) {
+    let known: Vec<f64> = abreast(0..if quick { 30 } else { 200 }, |seed| {
+        let mut world = World::new(Shape { machines: 30, voters: 5, ..Shape::default() }, seed);
+        world.witness.thorough = false;
+        let _ = world.go(20_000);
+        world.do_fault(&Fault::Loss(0.02, 0.0));
+        let died = world.now;
+        world.do_fault(&Fault::Kill(29));
+        while world.now < died + 60_000 && !world.all_know_dead(29) {
+            let next = world.now + 50;
+            let _ = world.go(next);
+        }
+        (world.now - died) as f64 / 1000.0
+    });
+    let mut known = known;
+    known.sort_by(f64::total_cmp);
+    let at = |part: f64| known[((known.len() as f64 * part) as usize).min(known.len() - 1)];
+    // Hours of a fleet with loss and short stops, in pieces side by side.
+    let hours = if quick { 4 } else { 100 };
+    let false_deaths: u64 = abreast(0..hours, |seed| {
+        let mut world = World::new(Shape { machines: 10, voters: 3, ..Shape::default() }, seed);
+        world.witness.thorough = false;
+        let _ = world.go(20_000);
+        world.do_fault(&Fault::Loss(0.02, 0.0));
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut taken = 0;
+        let mut before = world.taken_for_dead();
+        for _ in 0..720 {
+            world.do_fault(&Fault::Stop(rng.usize(0..10), 300));
+            let next = world.now + 5_000;
+            let _ = world.go(next);
+            let now = world.taken_for_dead();
+            taken += now.difference(&before).count() as u64;
+            before = now;
+        }
+        taken
+    })
+    .into_iter()
+    .sum();
+    report.table(
+        "Deaths among 30 members, with 2% loss; and an hour of ten with stops of 300 ms each 5 s",
+        &["known to all p50 s", "p99 s", "hours", "taken for dead that were not"],
+        vec![vec![
+            format!("{:.1}", at(0.5)),
+            format!("{:.1}", at(0.99)),
+            hours.to_string(),
+            false_deaths.to_string(),
+        ]],
+    );
+    report.at_most("death_known_p99_s", at(0.99), 30.0);
+    report.at_most("false_deaths", false_deaths as f64, 0.0);
+}
+
+/// Ten servers of eight runs at once, 30 minutes of a day with a burst of ten; each goes once. What those who are there do
+/// not bear is lost.
+fn headroom(report: &mut Report) {
+    const MACHINES: usize = 10;
+    const BEARS: f64 = 8.0;
+    const SECONDS: u64 = 1_800;
+    let demand = |second: u64| if (300..900).contains(&second) { 7.4 } else { 5.0 };
+    let settled = {
+        let rules = Rules { out: Amount::Count(3), ..Rules::default() };
+        let mut world =
+            World::new(Shape { machines: MACHINES, voters: 5, rules, work: 30_000, ..Shape::default() }, 5);
+        world.witness.thorough = false;
+        let _ = world.go(20_000);
+        let start = world.now;
+        let mut day = Day::default();
+        for second in 0..SECONDS {
+            world.do_fault(&Fault::Demand(demand(second)));
+            if second == 240 {
+                world.do_fault(&Fault::Ask((0..MACHINES).collect(), Urgency::Routine));
+            }
+            let _ = world.go(start + (second + 1) * 1_000);
+            day.second(demand(second) * MACHINES as f64, BEARS * world.there() as f64);
+            let over = world.stages();
+            if over.len() == MACHINES && over.iter().all(|(.., stage)| *stage == Stage::Done) {
+                day.done.get_or_insert(second - 240);
+            }
+        }
+        day
+    };
+    // Three at once, one after the other, whatever is carried: the same cycle of drain, work and warming.
+    let cycle = 44;
+    let mut plain = Day::default();
+    for second in 0..SECONDS {
+        let since = second.saturating_sub(240);
+        let groups = MACHINES.div_ceil(3) as u64;
+        let at = since / cycle;
+        let out = if second < 240 || at >= groups { 0 } else { 3.min(MACHINES - 3 * at as usize) };
+        let away = if since % cycle < 34 { out } else { 0 };
+        plain.second(demand(second) * MACHINES as f64, BEARS * (MACHINES - away) as f64);
+        if at >= groups {
+            plain.done.get_or_insert(second - 240);
+        }
+    }
+    let row = |name: &str, day: &Day| {
+        let done = day.done.map_or("not within the day".into(), |s| s.to_string());
+        vec![name.into(), format!("{:.4}", day.lost / day.asked), done]
+    };
+    report.table(
+        "Ten servers, a burst from the fifth minute to the fifteenth, all asked for in the fourth",
+        &["rule", "worth lost", "done after s"],
+        vec![row("headroom, three at the most", &settled), row("three at once", &plain)],
+    );
+    report.at_most("headroom_lost_over_plain", settled.lost / plain.lost.max(1.0), 0.1);
+    report.figure("headroom_done_s", settled.done.unwrap_or(SECONDS) as f64);
+}
+
+#[derive(Default)]
+struct Day {
+    asked: f64,
+    lost: f64,
+    done: Option<u64>,
+}
+
+impl Day {
+    fn second(&mut self, asked: f64, borne: f64) {
+        self.asked += asked;
+        self.lost += (asked - borne).max(0.0);
+    }
+}
--- /dev/null
+++ b/crates/loomflow-measure/src/order/work.rs
@@ -0,0 +1,110 @@
+//! Nine processes in three zones under load, each taken out once; beside it a script that takes thirds without asking.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use loomflow_load::rounds::{self, Round};
+use loomflow_load::{Heard, Plan, fleet};
+use loomflow_standins::fleet::{Fleet, Plan as Made};
+
+use crate::report::Report;
+
+const MEMBERS: usize = 9;
+const WORK: Duration = Duration::from_millis(20);
+/// Of what all nine do.
+const LOAD: f64 = 0.7;
+/// What a machine's work takes.
+const OUT_FOR: Duration = Duration::from_secs(2);
+const MADE: Made = Made {
+    members: MEMBERS,
+    zones: 3,
+    extra: "  begin_within_s: 10\n  warm_for_s: 1\n",
+    cores: 1,
+    work: WORK,
+    seed: 1,
+};
+
+fn started(program: &Path) -> (Fleet, fleet::Running) {
+    let fleet = Fleet::start_with(MADE, program).found(MADE);
+    let rate = LOAD * MEMBERS as f64 / WORK.as_secs_f64();
+    let plan = Plan {
+        class: "read",
+        rates: vec![(0.0, rate)],
+        span: Duration::from_secs(900),
+        connections: 1,
+        aim: Duration::from_millis(500),
+        prefix: "r",
+    };
+    let listens = fleet.members.iter().map(|member| member.world.listen).collect();
+    let load = fleet::start(listens, plan, Duration::from_secs(5));
+    std::thread::sleep(Duration::from_secs(2));
+    (fleet, load)
+}
+
+/// In time over asked, from the second second on.
+fn in_time(heard: &Heard) -> f64 {
+    let all = heard.between(1, heard.seconds.len().saturating_sub(1).max(2));
+    f64::from(all.in_time) / f64::from(all.asked.max(1))
+}
+
+pub fn measure(report: &mut Report, quick: bool, program: &Path) {
+    // The same load without work, for as long as the script takes.
+    let (fleet, load) = started(program);
+    std::thread::sleep(Duration::from_secs(if quick { 8 } else { 30 }));
+    let quiet = in_time(&load.end());
+    drop(fleet);
+    // In the order that the servers settle.
+    let (mut fleet, load) = started(program);
+    let round = Round { work: OUT_FOR, kill_after: None, limit: Duration::from_secs(400) };
+    let seen = rounds::play(&mut fleet, &round);
+    let heard = load.end();
+    let (settled, rules) = (in_time(&heard), heard.total());
+    let cycle = cycle(&fleet);
+    drop(fleet);
+    // A third at once, by SIGTERM.
+    let (mut fleet, load) = started(program);
+    let begun = Instant::now();
+    for third in 0..3 {
+        let out: Vec<usize> = (0..MEMBERS).filter(|one| one % 3 == third).collect();
+        out.iter().for_each(|one| fleet.members[*one].world.terminate());
+        for one in &out {
+            fleet.ended(*one);
+        }
+        std::thread::sleep(OUT_FOR);
+        out.iter().for_each(|one| fleet.start_one(*one));
+        std::thread::sleep(Duration::from_secs(1));
+    }
+    let thirds_took = begun.elapsed();
+    let thirds = in_time(&load.end());
+    let least = cycle * MEMBERS as f64;
+    let row = |name: &str, in_time: f64, out: String, took: f64| {
+        vec![name.into(), format!("{in_time:.4}"), out, format!("{took:.1}")]
+    };
+    report.table(
+        "Nine servers in three zones at 0.7 of what they do, each out for two seconds once",
+        &["order", "in time", "out at once", "took s"],
+        vec![
+            row("none goes", quiet, "0".into(), 0.0),
+            row("settled by the servers", settled, seen.most_out.to_string(), seen.took.as_secs_f64()),
+            row("thirds, unasked", thirds, "3".into(), thirds_took.as_secs_f64()),
+        ],
+    );
+    report.at_least("round_complete", f64::from(u8::from(seen.complete && seen.bad_ends == 0)), 1.0);
+    report.at_most("out_at_once", seen.most_out as f64, 1.0);
+    report.at_least("in_time_over_quiet", settled / quiet, 0.99);
+    report.figure("thirds_over_quiet", thirds / quiet);
+    report.at_most("lost", f64::from(rules.lost + rules.wrong), 0.0);
+    report.at_most("time_over_least", seen.took.as_secs_f64() / least, 1.3);
+}
+
+/// A machine's turn from its grant to its place being free, in the mean of all, s.
+fn cycle(fleet: &Fleet) -> f64 {
+    let (_, told, _) = fleet.say(0, &["work", "history", "--json"]);
+    let events: serde_json::Value = serde_json::from_str(&told).unwrap_or_default();
+    let empty = Vec::new();
+    let events = events.as_array().unwrap_or(&empty);
+    let at = |stage: &str| -> f64 {
+        events.iter().filter(|e| e["stage"] == stage).filter_map(|e| e["at"].as_f64()).sum()
+    };
+    (at("Done") - at("Granted")) / 1000.0 / MEMBERS as f64
+}
--- a/crates/loomflow-simulation/src/world.rs
+++ b/crates/loomflow-simulation/src/world.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 
 use loomflow_fleet::agreement::disk::{Disk, Image, MemoryDisk, Write};
-use loomflow_fleet::member::{Digest, Ms, Phase, RequestId};
+use loomflow_fleet::member::{Digest, Ms, Phase, RequestId, Standing};
 use loomflow_fleet::node::{Effect, Node, Setup};
 use loomflow_fleet::order::rules::Rules;
 use loomflow_fleet::order::ticket::{Move, Stage, TicketId, Wanted};
@@ -494,6 +494,32 @@
         all
     }
 
+    /// Whether every member that runs holds this one for dead.
+    pub fn all_know_dead(&self, one: usize) -> bool {
+        let nodes = self.machines.iter().filter_map(|machine| machine.node.as_ref());
+        let dead =
+            |node: &Node| node.membership().get(&name(one)).is_some_and(|k| k.standing() == Standing::Down);
+        nodes.into_iter().all(dead)
+    }
+
+    /// Pairs of members that run of which the first holds the second for dead.
+    pub fn taken_for_dead(&self) -> BTreeSet<(usize, usize)> {
+        let runs = |one: &usize| self.machines[*one].node.is_some();
+        let all: Vec<usize> = (0..self.machines.len()).filter(runs).collect();
+        let pairs = all.iter().flat_map(|a| all.iter().map(move |b| (*a, *b)));
+        let dead = |(a, b): &(usize, usize)| {
+            let node = self.machines[*a].node.as_ref();
+            node.and_then(|node| node.membership().get(&name(*b)))
+                .is_some_and(|k| k.standing() == Standing::Down)
+        };
+        pairs.filter(dead).collect()
+    }
+
+    /// Machines that take their part of the load.
+    pub fn there(&self) -> usize {
+        (0..self.machines.len()).filter(|one| self.serving(*one)).count()
+    }
+
     /// What the fleet's members sent so far: messages and bytes.
     pub fn traffic(&self) -> (u64, u64) {
         self.machines.iter().fold((0, 0), |sum, one| (sum.0 + one.sent.0, sum.1 + one.sent.1))
