--- a/crates/loomflow-fleet/src/order/state.rs
+++ b/crates/loomflow-fleet/src/order/state.rs
@@ -268,6 +268,10 @@
         incarnation: Incarnation,
     ) -> Result<Vec<TicketId>, Refusal> {
         let ticket = self.ticket(id)?;
+        // A grant comes with a census, and what time does nobody says.
+        if matches!(what, Move::Grant | Move::Lapse | Move::Expire | Move::Overrun) {
+            return Err(Refusal::NotYours);
+        }
         let hand = hand(by, ticket)?;
         // Whatever rests on a grant is nothing once that grant is not the one that holds.
         let rests_on_grant = matches!(what, Move::Begin | Move::Recall | Move::Drain | Move::Leave);
