--- a/crates/loomflow-fleet/src/membership.rs
+++ b/crates/loomflow-fleet/src/membership.rs
@@ -25,7 +25,7 @@
 /// How often those that are named in the settings and not here are spoken to, ms.
 const KNOCK: Ms = 2_000;
 /// How late a suspicion may be seen, ms, while there are packets at all.
-const LOOK: Ms = 200;
+const LOOK: Ms = 500;
 /// Timers that may stand at once: a few for each member.
 const MOST_TIMERS: usize = 4 * MOST_MEMBERS;
 
--- a/crates/loomflow-fleet/src/node/mod.rs
+++ b/crates/loomflow-fleet/src/node/mod.rs
@@ -215,8 +215,9 @@
         if now >= self.digest_at {
             self.digest_at = now + DIGEST_PERIOD;
             self.say_digest(now);
-            let members = self.seen(now);
+            // Only voters are told of loads.
             if self.agreement.is_some() {
+                let members = self.seen(now);
                 self.headroom.observe(now, &members);
             }
         }
