--- a/crates/loomflow-server/tests/deploy.rs
+++ b/crates/loomflow-server/tests/deploy.rs
@@ -50,10 +50,12 @@
     text.lines().skip(1).filter_map(inode).filter(|one| inodes.contains(one)).count()
 }
 
-/// The files of a disk that a process holds open.
+/// The files of a disk that a process opened; its standard streams are whoever's started it.
 fn files_held(pid: u32) -> Vec<String> {
     let held = std::fs::read_dir(format!("/proc/{pid}/fd")).expect("its descriptors");
-    let paths = held.filter_map(|one| std::fs::read_link(one.ok()?.path()).ok());
+    let own =
+        held.filter_map(Result::ok).filter(|one| !["0", "1", "2"].iter().any(|std| one.file_name() == *std));
+    let paths = own.filter_map(|one| std::fs::read_link(one.path()).ok());
     let paths = paths.map(|path| path.display().to_string());
     paths.filter(|path| path.starts_with('/') && !path.starts_with("/dev/")).collect()
 }
