One way to play many seeds side by side; a voter's start reads its folder once less

Read through the whole change. Three loops over seeds on threads (the simulation's test, two parts of the measurement) are one function in loomflow-simulation. Beginning from a folder read it twice in a row. A wrapper with one caller and two parameters that nobody used are gone. Behaviour stays as it is.

--- a/crates/loomflow-fleet/src/agreement/mod.rs
+++ b/crates/loomflow-fleet/src/agreement/mod.rs
@@ -119,7 +119,8 @@
 
     /// Reads the folder, stamps it with this start, and begins from what it holds.
     fn begin(&mut self) -> Result<(), String> {
-        let kept = self.disk.read()?.stamp;
+        let image = self.disk.read()?;
+        let kept = image.stamp;
         if self.stamp.seat.id != 0 && kept.seat != self.stamp.seat {
             return Err("the folder is another voter's now".into());
         }
@@ -127,7 +128,7 @@
         let stamp = Stamp { incarnation: self.stamp.incarnation, seat };
         self.disk.write(&Write { stamp: Some(stamp), ..Write::default() })?;
         self.stamp = stamp;
-        self.open()
+        self.open(image)
     }
 
     pub fn incarnation(&self) -> u64 {
@@ -214,7 +215,8 @@
         };
         self.disk.write(&write)?;
         self.stamp = stamp;
-        self.open()?;
+        let image = self.disk.read()?;
+        self.open(image)?;
         // Nobody else can lead, so nobody need be waited for.
         if let Some(node) = &mut self.node {
             let _ = node.campaign();
@@ -223,10 +225,10 @@
         Ok(())
     }
 
-    /// Reads the folder and begins from it. Errors leave no node.
-    fn open(&mut self) -> Result<(), String> {
+    /// Begins from what the folder holds. Errors leave no node.
+    fn open(&mut self, image: Image) -> Result<(), String> {
         self.node = None;
-        let Image { hard, snapshot, entries, .. } = self.disk.read()?;
+        let Image { hard, snapshot, entries, .. } = image;
         let snapshot: Snapshot = snapshot.as_deref().map(decode).transpose()?.unwrap_or_default();
         let hard: Option<HardState> = hard.as_deref().map(decode).transpose()?;
         let entries: Vec<Entry> = entries.iter().map(|(_, bytes)| decode(bytes)).collect::<Result<_, _>>()?;
--- a/crates/loomflow-fleet/src/node/own.rs
+++ b/crates/loomflow-fleet/src/node/own.rs
@@ -53,7 +53,7 @@
         }
         match ticket.stage {
             Stage::Granted if self.own.begin.is_none_or(|(_, grant)| grant != ticket.grant) => {
-                let id = self.submit_move(&ticket, Move::Begin, now);
+                let id = self.say_move(ticket.id, ticket.grant, Move::Begin, now);
                 self.own.begin = Some((id, ticket.grant));
             }
             // Agreed on, and the answer was lost; or it was taken for gone before it heard.
@@ -134,10 +134,6 @@
         self.settle(now);
     }
 
-    fn submit_move(&mut self, ticket: &Ticket, by: Move, now: Ms) -> RequestId {
-        self.say_move(ticket.id, ticket.grant, by, now)
-    }
-
     fn say_move(&mut self, ticket: TicketId, grant: GrantNumber, by: Move, now: Ms) -> RequestId {
         use rand::RngExt;
         let me = self.me();
--- a/crates/loomflow-measure/src/order/faults.rs
+++ b/crates/loomflow-measure/src/order/faults.rs
@@ -3,10 +3,9 @@
 
 use std::collections::BTreeMap;
 use std::path::Path;
-use std::sync::Mutex;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use loomflow_simulation::abreast;
 use loomflow_standins::fleet::{Fleet, LONG, Plan};
 use loomflow_standins::relay::Trouble;
 use serde_json::Value;
@@ -31,40 +30,21 @@
 
 pub fn measure(report: &mut Report, quick: bool, program: &Path) {
     let rounds = if quick { 20 } else { 200 };
-    let next = AtomicU64::new(1);
-    let sum = Mutex::new(Sum::default());
-    std::thread::scope(|scope| {
-        for _ in 0..ABREAST {
-            scope.spawn(|| {
-                loop {
-                    let seed = next.fetch_add(1, Ordering::Relaxed);
-                    if seed > rounds {
-                        return;
-                    }
-                    let played = round(seed, program);
-                    let mut sum = sum.lock().unwrap_or_else(|e| e.into_inner());
-                    sum.rounds += 1;
-                    sum.over_budget += u64::from(played.over_budget);
-                    sum.without_begin += played.without_begin;
-                    sum.lost += played.lost;
-                    match played.grant_after {
-                        Some(after) => sum.grants.push(after),
-                        None => sum.late.push((seed, f64::INFINITY)),
-                    }
-                    if played.grant_after.is_some_and(|after| after > GRANT_WITHIN) {
-                        sum.late.push((seed, played.grant_after.unwrap_or_default()));
-                    }
-                    if played.over_budget
-                        || played.without_begin + played.lost > 0
-                        || played.grant_after.is_none()
-                    {
-                        sum.failed.push(played.told);
-                    }
-                }
-            });
+    let mut sum = Sum::default();
+    for (seed, played) in abreast(ABREAST, 1..rounds + 1, |seed| (seed, round(seed, program))) {
+        sum.rounds += 1;
+        sum.over_budget += u64::from(played.over_budget);
+        sum.without_begin += played.without_begin;
+        sum.lost += played.lost;
+        let after = played.grant_after.unwrap_or(f64::INFINITY);
+        if after > GRANT_WITHIN {
+            sum.late.push((seed, after));
+        }
+        sum.grants.extend(played.grant_after);
+        if played.over_budget || played.without_begin + played.lost > 0 || played.grant_after.is_none() {
+            sum.failed.push(played.told);
         }
-    });
-    let mut sum = sum.into_inner().unwrap_or_else(|e| e.into_inner());
+    }
     sum.grants.sort_by(f64::total_cmp);
     let part =
         |of: f64| sum.grants.get(((sum.grants.len() as f64 * of) as usize).min(sum.grants.len().max(1) - 1));
--- a/crates/loomflow-measure/src/order/simulated.rs
+++ b/crates/loomflow-measure/src/order/simulated.rs
@@ -1,12 +1,10 @@
 //! The fleet in virtual time: many seeds, large fleets, long hours, and headroom against "N at once".
 
-use std::sync::Mutex;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Instant;
 
 use loomflow_fleet::order::rules::{Amount, Rules};
 use loomflow_fleet::order::ticket::{Stage, Urgency};
-use loomflow_simulation::{Fault, Script, Shape, World};
+use loomflow_simulation::{Fault, Script, Shape, World, abreast, cores};
 
 use crate::report::Report;
 
@@ -17,27 +15,6 @@
     headroom(report);
 }
 
-/// Plays something for each number on all cores.
-fn abreast<T: Send>(numbers: std::ops::Range<u64>, play: impl Fn(u64) -> T + Sync) -> Vec<T> {
-    let next = AtomicU64::new(numbers.start);
-    let done = Mutex::new(Vec::new());
-    std::thread::scope(|scope| {
-        for _ in 0..std::thread::available_parallelism().map_or(1, usize::from) {
-            scope.spawn(|| {
-                loop {
-                    let number = next.fetch_add(1, Ordering::Relaxed);
-                    if number >= numbers.end {
-                        return;
-                    }
-                    let one = play(number);
-                    done.lock().unwrap_or_else(|e| e.into_inner()).push(one);
-                }
-            });
-        }
-    });
-    done.into_inner().unwrap_or_else(|e| e.into_inner())
-}
-
 /// Days of faults: small fleets in full, larger ones for as long as the machine allows.
 fn seeds(report: &mut Report, quick: bool) {
     let counts: [(usize, u64); 4] = if quick {
@@ -49,7 +26,7 @@
     let mut violations = 0;
     for (machines, count) in counts {
         let began = Instant::now();
-        let failed: Vec<String> = abreast(0..count, |seed| {
+        let failed: Vec<String> = abreast(cores(), 0..count, |seed| {
             let voters = if machines >= 5 { 5 } else { 3 };
             let shape = Shape { machines, voters, zones: 3, drift: 0.001, ..Shape::default() };
             // A few of the many ask: what is looked for is what breaks, not how long all take.
@@ -115,7 +92,7 @@
 
 /// How soon a death is known to all, and who is taken for dead that is not.
 fn deaths(report: &mut Report, quick: bool) {
-    let known: Vec<f64> = abreast(0..if quick { 30 } else { 200 }, |seed| {
+    let known: Vec<f64> = abreast(cores(), 0..if quick { 30 } else { 200 }, |seed| {
         let mut world = World::new(Shape { machines: 30, voters: 5, ..Shape::default() }, seed);
         world.witness.thorough = false;
         let _ = world.go(20_000);
@@ -133,7 +110,7 @@
     let at = |part: f64| known[((known.len() as f64 * part) as usize).min(known.len() - 1)];
     // Hours of a fleet with loss and short stops, in pieces side by side.
     let hours = if quick { 4 } else { 100 };
-    let false_deaths: u64 = abreast(0..hours, |seed| {
+    let false_deaths: u64 = abreast(cores(), 0..hours, |seed| {
         let mut world = World::new(Shape { machines: 10, voters: 3, ..Shape::default() }, seed);
         world.witness.thorough = false;
         let _ = world.go(20_000);
--- a/crates/loomflow-simulation/src/lib.rs
+++ b/crates/loomflow-simulation/src/lib.rs
@@ -5,9 +5,11 @@
 //! - [`world`]: the machines and the network between them, moved on event by event.
 //! - [`witness`]: what must hold after every event, judged by what the processes did and not by what the fleet says.
 
+pub mod abreast;
 pub mod script;
 pub mod witness;
 pub mod world;
 
+pub use abreast::{abreast, cores};
 pub use script::{Fault, Script};
 pub use world::{Shape, World};
--- a/crates/loomflow-simulation/src/witness.rs
+++ b/crates/loomflow-simulation/src/witness.rs
@@ -50,7 +50,7 @@
         self.left.push((one, ticket, now));
     }
 
-    pub fn gone(&mut self, one: usize, _now: Ms) {
+    pub fn gone(&mut self, one: usize) {
         self.last.remove(&one);
     }
 
@@ -59,8 +59,7 @@
     }
 
     /// Looks at the one that moved, and at all that are out.
-    pub fn look(&mut self, now: Ms, moved: usize, machines: &[Machine]) -> Result<(), String> {
-        let _ = now;
+    pub fn look(&mut self, moved: usize, machines: &[Machine]) -> Result<(), String> {
         // Back is a process that runs again and does not leave.
         self.out.retain(|one, ticket| {
             let machine = &machines[*one];
--- a/crates/loomflow-simulation/src/world.rs
+++ b/crates/loomflow-simulation/src/world.rs
@@ -201,7 +201,7 @@
     fn kill(&mut self, one: usize) {
         self.machines[one].node = None;
         self.say(format!("n{one} is dead"));
-        self.witness.gone(one, self.now);
+        self.witness.gone(one);
     }
 
     fn say(&mut self, what: String) {
@@ -248,7 +248,7 @@
             };
             if let Some(one) = moved {
                 self.carry_out(one);
-                self.witness.look(self.now, one, &self.machines).map_err(|what| {
+                self.witness.look(one, &self.machines).map_err(|what| {
                     let last: Vec<String> = self
                         .log
                         .iter()
@@ -380,7 +380,7 @@
                 }
             }
             self.say(format!("n{one} is out"));
-            self.witness.gone(one, self.now);
+            self.witness.gone(one);
             if let Some(work) = work.filter(|_| ticket.is_some()) {
                 self.push(self.now + work, What::Start(one));
             }
--- a/crates/loomflow-simulation/tests/seeds.rs
+++ b/crates/loomflow-simulation/tests/seeds.rs
@@ -1,12 +1,8 @@
 //! Seeded days of faults. A seed that fails is printed with its timeline; `LOOMFLOW_SEED=n` plays it alone,
 //! `LOOMFLOW_SEEDS=n` plays so many.
 
-use std::sync::Mutex;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::thread;
-
 use loomflow_fleet::order::ticket::Stage;
-use loomflow_simulation::{Script, Shape, World};
+use loomflow_simulation::{Script, Shape, World, abreast, cores};
 
 /// Faults from the twelfth second to the sixtieth, then quiet: every ticket comes to its end.
 fn day(seed: u64) -> Result<(), String> {
@@ -49,25 +45,9 @@
         (Some(one), _) => one..one + 1,
         (None, count) => 0..count.unwrap_or(40),
     };
-    let next = AtomicU64::new(seeds.start);
-    let failed = Mutex::new(Vec::new());
-    thread::scope(|scope| {
-        for _ in 0..thread::available_parallelism().map_or(1, usize::from) {
-            scope.spawn(|| {
-                loop {
-                    let seed = next.fetch_add(1, Ordering::Relaxed);
-                    if seed >= seeds.end {
-                        return;
-                    }
-                    if let Err(what) = day(seed) {
-                        failed.lock().unwrap().push((seed, what));
-                    }
-                }
-            });
-        }
-    });
-    let mut failed = failed.into_inner().unwrap();
-    failed.sort();
+    let played = abreast(cores(), seeds, |seed| (seed, day(seed)));
+    let failed: Vec<(u64, String)> =
+        played.into_iter().filter_map(|(seed, played)| Some((seed, played.err()?))).collect();
     let numbers: Vec<u64> = failed.iter().map(|(seed, _)| *seed).collect();
     assert!(failed.is_empty(), "seeds {numbers:?} fail\n{}", failed[0].1);
 }
