Duties: sessions, leases, fences and who owns what, applied from the log beside the order

Need (one owner at a time): work for the whole fleet is done by exactly one server, another takes over when it breaks, and an old owner that wakes up late does no harm. The ground of the fleet carries it: a server has a session, kept by one message for all it owns; a duty's lease lasts as long as its owner's session; tokens rise over all of them; a public Fence refuses lower ones. Sessions end by the fleet's time, which stands still without a leader and so never ends one early; the holder counts from before it asked, less the bound on drift. Off: nothing in the server asks for it yet.

--- a/crates/loomflow-fleet/src/member.rs
+++ b/crates/loomflow-fleet/src/member.rs
@@ -9,6 +9,9 @@
 /// Milliseconds on the boot-time clock of one machine. Never compared between machines.
 pub type Ms = u64;
 
+/// Milliseconds of the fleet's own time: it moves with the log, and stands still while there is no leader.
+pub type FleetMs = u64;
+
 /// The name of a server, as in its configuration. At most [`LONGEST_NAME`] bytes.
 pub type Name = String;
 
--- a/crates/loomflow-fleet/src/node/asks.rs
+++ b/crates/loomflow-fleet/src/node/asks.rs
@@ -5,9 +5,10 @@
 
 use super::{Effect, Node};
 use crate::agreement::NotNow;
+use crate::duty;
 use crate::member::{Ms, Name, RequestId};
 use crate::order::ticket::Refusal;
-use crate::order::{Answer, Ask, Entry};
+use crate::order::{Answer, Ask, Command, Entry};
 use crate::wire::Body;
 
 /// A request without an answer is said again after this, to another voter, ms.
@@ -51,6 +52,11 @@
         self.say_ask(id, now);
     }
 
+    /// One of our own is no longer wanted.
+    pub(super) fn forget(&mut self, id: RequestId) {
+        self.asks.own.remove(&id);
+    }
+
     /// Says again what has no answer, and gives up what is over.
     pub(super) fn ask_again(&mut self, now: Ms) {
         let due: Vec<(RequestId, bool)> = self
@@ -98,7 +104,13 @@
         }
         if self.leads() {
             match ask {
-                Ask::Do { by, command } => {
+                Ask::Do { command: Command::Duty(duty::Command::KeepAlive(holders)), .. } => {
+                    self.keeps(id, holders, now);
+                }
+                Ask::Do { by, mut command } => {
+                    if let Command::Duty(duty::Command::Release { duty, to, .. }) = &mut command {
+                        *to = self.next_owner(duty, now);
+                    }
                     let entry = Entry { id, at: self.fleet_now(now), by, command };
                     // What is not taken now is asked again by whoever wants it.
                     if self.propose(&entry) == Err(NotNow::NotLeader) {
@@ -130,7 +142,9 @@
     pub(super) fn answered(&mut self, id: RequestId, answer: Answer, now: Ms) {
         if let Some(pending) = self.asks.own.remove(&id) {
             let asked_at = pending.until - GIVEN_UP;
-            if !self.own_answered(id, &answer, asked_at, now) {
+            if !self.own_answered(id, &answer, asked_at, now)
+                && !self.duty_answered(id, &answer, asked_at, now)
+            {
                 self.effects.push(Effect::Answered(id, answer));
             }
         } else if let Some((to, _)) = self.asks.owed.remove(&id)
--- a/crates/loomflow-fleet/src/node/lead.rs
+++ b/crates/loomflow-fleet/src/node/lead.rs
@@ -5,6 +5,7 @@
 
 use rand::RngExt;
 
+use super::lead_duties::Sessions;
 use super::{Effect, Node};
 use crate::agreement::Agreement;
 use crate::member::{Ms, Name, Phase, RequestId, Standing};
@@ -27,6 +28,7 @@
     /// What it proposed that is not agreed on yet, and until when that is waited for.
     open: BTreeSet<RequestId>,
     open_until: Ms,
+    pub sessions: Sessions,
 }
 
 impl Lead {
@@ -60,7 +62,8 @@
             self.lead.open.clear();
         }
         if self.lead.open.is_empty() {
-            for command in self.decisions(now) {
+            let commands = [self.decisions(now), self.duty_decisions(now)].concat();
+            for command in commands {
                 self.lead_with(command, now);
             }
         }
@@ -89,7 +92,8 @@
         if order.rules() != Some(&self.setup.rules) {
             return vec![Command::Rules(self.setup.rules.clone())];
         }
-        let waits = order.next_due();
+        let due = self.record().and_then(|record| record.duties.next_due());
+        let waits = order.next_due().into_iter().chain(due).min();
         if waits.is_some_and(|at| at <= fleet_now || fleet_now >= order.time() + CLOCK) {
             return vec![Command::Clock];
         }
@@ -124,7 +128,7 @@
     /// Lets the voter lead that is furthest, of those who serve and hold no place.
     pub(super) fn give_up_lead(&mut self) {
         let Some(agreement) = &self.agreement else { return };
-        let busy: BTreeSet<Name> = agreement.machine().holders().keys().cloned().collect();
+        let busy: BTreeSet<Name> = agreement.machine().order.holders().keys().cloned().collect();
         let known = self.membership.known();
         let fit: BTreeSet<Name> = known
             .values()
--- a/crates/loomflow-fleet/src/node/mod.rs
+++ b/crates/loomflow-fleet/src/node/mod.rs
@@ -4,10 +4,14 @@
 //! - this file: who it is, what comes in and where it goes;
 //! - `asks`: requests on their way to the leader and answers on their way back;
 //! - `own`: what it does about a ticket of its own: begin, drain, leave;
-//! - `lead`: the leader's round: voters, moves, the next grant.
+//! - `lead`: the leader's round: voters, moves, the next grant;
+//! - `duties`: its session, and the duties that it owns;
+//! - `lead_duties`: the leader's part in them.
 
 mod asks;
+pub mod duties;
 mod lead;
+mod lead_duties;
 mod own;
 mod status;
 
@@ -19,6 +23,7 @@
 
 use crate::agreement::Agreement;
 use crate::agreement::disk::Disk;
+use crate::duty::tenure::Change;
 use crate::member::{DIGEST_OLD, DIGEST_PERIOD, Digest, Me, Ms, Name, Phase, RequestId, Seat, Zone};
 use crate::membership::Membership;
 use crate::order::headroom::{Headroom, Seen};
@@ -26,9 +31,11 @@
 use crate::order::state::Order;
 use crate::order::ticket::TicketId;
 use crate::order::{Answer, Ask};
+use crate::record::Record;
 use crate::wire::{self, Body, Malformed, Message, Notice};
 
 use asks::Asks;
+use duties::Duties;
 use lead::Lead;
 use own::Own;
 
@@ -45,6 +52,8 @@
     /// Other ways to members than the addresses they tell.
     pub via: BTreeMap<Name, SocketAddr>,
     pub rules: Rules,
+    /// None where this fleet has no duties.
+    pub duties: Option<duties::Setup>,
     /// Of everything drawn here; the same seed and the same inputs give the same outputs.
     pub seed: u64,
     /// Unix ms at the start.
@@ -63,6 +72,8 @@
     /// Its begin is agreed on: the server is to leave as on SIGTERM.
     Leave(TicketId),
     Answered(RequestId, Answer),
+    /// It came to own a duty, is to hand it over, or no longer owns it.
+    Duty(Change),
     /// For the log.
     Note(String),
 }
@@ -71,7 +82,7 @@
     setup: Setup,
     membership: Membership,
     /// Voters only.
-    agreement: Option<Agreement<Order>>,
+    agreement: Option<Agreement<Record>>,
     /// Why the folder cannot be used.
     fault: Option<String>,
     rng: SmallRng,
@@ -84,6 +95,7 @@
     own: Own,
     asks: Asks,
     lead: Lead,
+    duties: Duties,
     headroom: Headroom,
     effects: Vec<Effect>,
     /// Messages that could not be read, or are another fleet's.
@@ -123,6 +135,7 @@
             own: Own::default(),
             asks: Asks::default(),
             lead: Lead::default(),
+            duties: Duties::default(),
             headroom: Headroom::default(),
             effects: Vec::new(),
             malformed: 0,
@@ -140,10 +153,15 @@
 
     /// The order as this voter has applied it.
     pub fn order(&self) -> Option<&Order> {
+        self.record().map(|record| &record.order)
+    }
+
+    /// All that was agreed on, as this voter has applied it.
+    pub fn record(&self) -> Option<&Record> {
         self.agreement.as_ref().map(Agreement::machine)
     }
 
-    pub fn agreement(&self) -> Option<&Agreement<Order>> {
+    pub fn agreement(&self) -> Option<&Agreement<Record>> {
         self.agreement.as_ref()
     }
 
@@ -189,6 +207,8 @@
             Body::Notice(notice) => self.noticed(notice, now),
             Body::Ask { id, hops, ask } => self.asked(from.name, id, hops, ask, now),
             Body::Answer { id, answer } => self.answered(id, answer, now),
+            Body::Duties(kept) => self.duties_told(kept, now),
+            Body::Summary { token, summary } => self.summary_told(from.name, token, summary, now),
         }
         self.settle(now);
         Ok(())
@@ -211,12 +231,15 @@
         }
         self.ask_again(now);
         self.round(now);
+        self.keep_sessions(now);
+        self.see_to_duties(now);
         self.settle(now);
     }
 
     pub fn next_wake(&self) -> Ms {
         let agreement = self.agreement.as_ref().map_or(Ms::MAX, Agreement::next_wake);
-        self.membership.next_wake().min(agreement).min(self.digest_at).min(self.asks.next_wake())
+        let duties = if self.setup.duties.is_some() { self.duties.next_wake() } else { Ms::MAX };
+        self.membership.next_wake().min(agreement).min(self.digest_at).min(self.asks.next_wake()).min(duties)
     }
 
     /// Something wanted on this machine; its answer comes as an effect.
@@ -302,7 +325,7 @@
     /// Tells a member what this voter knows of it.
     fn notify(&mut self, to: &Name, sent: Ms) {
         let Some(agreement) = self.agreement.as_ref().filter(|a| a.seat().group != 0) else { return };
-        let order = agreement.machine();
+        let order = &agreement.machine().order;
         let notice = Notice {
             sent,
             leader: agreement.leader().cloned(),
@@ -366,9 +389,15 @@
             for (to, bytes) in said {
                 self.send(&to, Body::Raft { group, bytes });
             }
+            let any = !outputs.is_empty();
             for (id, answer) in outputs {
                 self.lead.came_of(id);
-                self.came_of(id, answer, now);
+                if !self.kept(id, now) {
+                    self.came_of(id, answer, now);
+                }
+            }
+            if any {
+                self.tell_owners(now);
             }
         }
         self.see_to_own(now);
--- a/crates/loomflow-fleet/src/node/own.rs
+++ b/crates/loomflow-fleet/src/node/own.rs
@@ -35,7 +35,7 @@
     /// The ticket by which this server holds a place, as far as is known here.
     fn own_ticket(&self, now: Ms) -> Option<Ticket> {
         if let Some(agreement) = self.agreement.as_ref().filter(|a| a.leads()) {
-            let order = agreement.machine();
+            let order = &agreement.machine().order;
             return order.holders().get(&self.setup.name).and_then(|id| order.open().get(id)).cloned();
         }
         let (_, notice) = self.heard.as_ref()?;
@@ -94,6 +94,7 @@
         self.effects.push(Effect::Leave(ticket));
         self.note(format!("ticket {ticket}: begun, this server leaves for work"));
         self.say_move(ticket, grant, Move::Drain, now);
+        self.hand_over_all(now);
         self.give_up_lead();
         self.say_digest(now);
     }
@@ -107,6 +108,7 @@
         let name = self.setup.name.clone();
         let by = By::Server { name: name.clone(), incarnation: self.me().incarnation };
         self.submit(Ask::Do { by, command: Command::Unasked(name) }, now);
+        self.hand_over_all(now);
         self.give_up_lead();
         self.say_digest(now);
         self.settle(now);
@@ -116,6 +118,7 @@
     pub fn drained(&mut self, now: Ms) {
         self.phase = Phase::Leaving;
         self.say_digest(now);
+        self.end_session(now);
         match self.own.leaving {
             Some((ticket, grant)) => self.own.left = Some(self.say_move(ticket, grant, Move::Leave, now)),
             None => self.own.said_left = true,
@@ -125,7 +128,7 @@
 
     /// Whether the process may end without anything left to say.
     pub fn is_over(&self) -> bool {
-        self.own.said_left
+        self.own.said_left && self.duties.is_over()
     }
 
     /// The last word to the membership.
--- a/crates/loomflow-fleet/src/node/status.rs
+++ b/crates/loomflow-fleet/src/node/status.rs
@@ -26,6 +26,10 @@
                     events: order.events().rev().take(MOST_EVENTS_TOLD).cloned().collect(),
                 })
             }
+            Ask::Duties => {
+                let listed = self.record()?.duties.list();
+                Some(Answer::Duty(crate::duty::Answer::List(Box::new(listed))))
+            }
             Ask::Explain(server) => {
                 let (order, members) = (self.order()?, self.seen(now));
                 let leader = self.setup.name.as_str();
@@ -78,6 +82,8 @@
             unasked: order.unasked(),
             time: order.time(),
             fault: self.fault.clone(),
+            summary: self.told(now),
+            refused: self.refused(),
         }
     }
 }
--- a/crates/loomflow-fleet/src/order/mod.rs
+++ b/crates/loomflow-fleet/src/order/mod.rs
@@ -17,6 +17,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::duty::{self, Token, summary::Summary};
 use crate::member::{Incarnation, Name, RequestId, Zone};
 use rules::Rules;
 use ticket::{FleetMs, GrantNumber, Move, Refusal, Ticket, TicketId, Wanted};
@@ -62,6 +63,8 @@
     Unasked(Name),
     /// Only its time counts.
     Clock,
+    /// On a duty: [`crate::record`] takes it, and the order only its time.
+    Duty(duty::Command),
 }
 
 /// Whom the leader saw when it decided: what a grant rests on beside the tickets.
@@ -85,6 +88,8 @@
     Tickets,
     /// Why this server waits.
     Explain(Name),
+    /// All duties, and what happened to them.
+    Duties,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -99,6 +104,7 @@
         events: Vec<state::Happened>,
     },
     Explained(choose::Explained),
+    Duty(duty::Answer),
 }
 
 /// The fleet as its leader sees it.
@@ -121,6 +127,20 @@
     pub time: FleetMs,
     /// What is wrong with the disk of whoever answers.
     pub fault: Option<String>,
+    /// The fleet summed up, as whoever answers was last told.
+    pub summary: Option<Told>,
+    /// Orders of old owners of duties that whoever answers refused.
+    pub refused: u64,
+}
+
+/// What the owner of a duty told a member.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Told {
+    pub by: Name,
+    pub token: Token,
+    /// Ms since it was told.
+    pub age: u64,
+    pub summary: Summary,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/loomflow-fleet/src/order/state.rs
+++ b/crates/loomflow-fleet/src/order/state.rs
@@ -185,6 +185,7 @@
                 Ok(Vec::new())
             }
             Command::Clock => Ok(Vec::new()),
+            Command::Duty(_) => Err(Refusal::NotYours),
         };
         done.map_or_else(Answer::Refused, Answer::Done)
     }
@@ -417,25 +418,36 @@
     }
 }
 
-impl Machine for Order {
-    type Output = (RequestId, Answer);
+impl Order {
+    /// The fleet's time moves on.
+    pub fn at(&mut self, time: FleetMs) {
+        self.kept.time = self.kept.time.max(time);
+        self.pass();
+    }
 
-    fn apply(&mut self, entry: &[u8]) -> Option<(RequestId, Answer)> {
-        let entry: Entry = postcard::from_bytes(entry).ok()?;
-        // A repeat gets what the first one got, and does nothing.
+    /// Takes in one entry. A repeat gets what the first one got, and does nothing.
+    pub fn take(&mut self, entry: &Entry) -> Answer {
         if let Some((_, answer)) = self.kept.answers.iter().rev().find(|(id, _)| *id == entry.id) {
-            return Some((entry.id, answer.clone()));
+            return answer.clone();
         }
-        self.kept.time = self.kept.time.max(entry.at);
-        self.pass();
-        let answer = self.carry_out(&entry);
+        self.at(entry.at);
+        let answer = self.carry_out(entry);
         if !matches!(entry.by, By::Leader) {
             self.kept.answers.push_back((entry.id, answer.clone()));
             if self.kept.answers.len() > MOST_ANSWERS {
                 self.kept.answers.pop_front();
             }
         }
-        Some((entry.id, answer))
+        answer
+    }
+}
+
+impl Machine for Order {
+    type Output = (RequestId, Answer);
+
+    fn apply(&mut self, entry: &[u8]) -> Option<(RequestId, Answer)> {
+        let entry: Entry = postcard::from_bytes(entry).ok()?;
+        Some((entry.id, self.take(&entry)))
     }
 
     fn voters(&mut self, names: Vec<Name>) {
--- a/crates/loomflow-fleet/src/order/ticket.rs
+++ b/crates/loomflow-fleet/src/order/ticket.rs
@@ -3,13 +3,12 @@
 
 use serde::{Deserialize, Serialize};
 
+pub use crate::member::FleetMs;
 use crate::member::{Incarnation, Name, RequestId, Zone};
 
 pub type TicketId = u64;
 /// Rises with every grant: a grant that was heard late finds its number superseded.
 pub type GrantNumber = u64;
-/// Milliseconds of the fleet's own time: it moves with the log, and stands still while there is no leader.
-pub type FleetMs = u64;
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Urgency {
--- a/crates/loomflow-fleet/src/wire.rs
+++ b/crates/loomflow-fleet/src/wire.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::duty::{self, Token, summary::Summary};
 use crate::member::{Digest, Me, Ms, Name, RequestId, Seat};
 use crate::order::ticket::Ticket;
 use crate::order::{Answer, Ask};
@@ -50,6 +51,13 @@
         id: RequestId,
         answer: Answer,
     },
+    /// The leader tells a member what it owns, as soon as it is agreed on.
+    Duties(duty::Kept),
+    /// The owner of the summary tells all members.
+    Summary {
+        token: Token,
+        summary: Summary,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/loomflow-server/src/fleet/mod.rs
+++ b/crates/loomflow-server/src/fleet/mod.rs
@@ -128,6 +128,7 @@
             warm_for: options.warm_for_s * 1000,
             warm_share: options.warm_share,
         },
+        duties: None,
         // Numbers that are drawn must not come again after a restart.
         seed: config.seed ^ fastrand::u64(..),
         wall,
@@ -246,6 +247,7 @@
                 Effect::Answered(id, answer) => {
                     self.operators.answered(id, &Hear::Answer(answer));
                 }
+                Effect::Duty(_) => {}
                 Effect::Note(text) => log!(part = "fleet", "{text}"),
             }
         }
--- a/crates/loomflow-simulation/src/script.rs
+++ b/crates/loomflow-simulation/src/script.rs
@@ -38,6 +38,8 @@
     Work(usize, Option<Ms>),
     /// SIGTERM, without a ticket.
     Terminate(usize),
+    /// Its module asks for this share of its usual traffic from now on, whatever it carries.
+    Share(usize, f32),
 }
 
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/crates/loomflow-simulation/src/witness.rs
+++ b/crates/loomflow-simulation/src/witness.rs
@@ -5,6 +5,8 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use loomflow_fleet::agreement::Machine as _;
+use loomflow_fleet::duty::Token;
+use loomflow_fleet::duty::fence::Fence;
 use loomflow_fleet::member::Ms;
 use loomflow_fleet::order::ticket::{Stage, TicketId};
 
@@ -27,6 +29,40 @@
     pub left: Vec<(usize, TicketId, Ms)>,
     /// Compares states as well; costly in large fleets.
     pub thorough: bool,
+    /// Clocks keep to the bound on drift, so that nobody believes to own what another does.
+    pub clocks_hold: bool,
+    /// What receives the owners' effects.
+    pub receiver: Receiver,
+}
+
+/// Receives effects behind a fence, and judges the fence by what it let in.
+#[derive(Default)]
+pub struct Receiver {
+    fence: Fence,
+    /// The highest token that was let in, and whose each token is.
+    highest: BTreeMap<String, Token>,
+    whose: BTreeMap<Token, usize>,
+    /// Effects let in, and those that came from old owners and were refused.
+    pub accepted: u64,
+    pub refused: u64,
+    wrong: Option<String>,
+}
+
+impl Receiver {
+    fn effect(&mut self, one: usize, duty: &str, token: Token) {
+        let first = *self.whose.entry(token).or_insert(one);
+        if first != one {
+            self.wrong.get_or_insert(format!("token {token} of {duty} is n{first}'s and n{one}'s"));
+        }
+        let highest = self.highest.entry(duty.to_owned()).or_default();
+        match self.fence.admit(duty, token, |_| Ok::<(), ()>(())) {
+            Ok(()) if token < *highest => {
+                self.wrong.get_or_insert(format!("{duty}: token {token} was let in after {highest}"));
+            }
+            Ok(()) => (*highest, self.accepted) = (token, self.accepted + 1),
+            Err(_) => self.refused += 1,
+        }
+    }
 }
 
 impl Witness {
@@ -41,6 +77,8 @@
             to_check: Vec::new(),
             left: Vec::new(),
             thorough: true,
+            clocks_hold: true,
+            receiver: Receiver::default(),
         }
     }
 
@@ -50,6 +88,10 @@
         self.left.push((one, ticket, now));
     }
 
+    pub fn effect(&mut self, one: usize, duty: &str, token: Token) {
+        self.receiver.effect(one, duty, token);
+    }
+
     pub fn gone(&mut self, one: usize) {
         self.last.remove(&one);
     }
@@ -72,6 +114,9 @@
         for (one, ticket) in std::mem::take(&mut self.to_check) {
             begun(one, ticket, machines)?;
         }
+        if let Some(wrong) = self.receiver.wrong.take() {
+            return Err(wrong);
+        }
         let Some(node) = &machines[moved].node else { return Ok(()) };
         let Some(agreement) = node.agreement() else { return Ok(()) };
         let group = agreement.seat().group;
--- a/crates/loomflow-simulation/src/world.rs
+++ b/crates/loomflow-simulation/src/world.rs
@@ -5,8 +5,10 @@
 use std::sync::{Arc, Mutex};
 
 use loomflow_fleet::agreement::disk::{Disk, Image, MemoryDisk, Write};
+use loomflow_fleet::duty::tenure::Change;
+use loomflow_fleet::duty::{Declared, Terms};
 use loomflow_fleet::member::{Digest, Ms, Phase, RequestId, Standing};
-use loomflow_fleet::node::{Effect, Node, Setup};
+use loomflow_fleet::node::{Effect, Node, Setup, duties};
 use loomflow_fleet::order::rules::Rules;
 use loomflow_fleet::order::ticket::{Move, Stage, TicketId, Wanted};
 use loomflow_fleet::order::{Answer, Ask, By, Command};
@@ -36,11 +38,23 @@
     pub work: Ms,
     /// Clocks run so much faster or slower at the most, as a part.
     pub drift: f64,
+    /// Duties of the operators, and the terms of all.
+    pub duties: usize,
+    pub terms: Terms,
 }
 
 impl Default for Shape {
     fn default() -> Shape {
-        Shape { machines: 5, voters: 3, zones: 1, rules: Rules::default(), work: 4_000, drift: 0.0 }
+        Shape {
+            machines: 5,
+            voters: 3,
+            zones: 1,
+            rules: Rules::default(),
+            work: 4_000,
+            drift: 0.0,
+            duties: 0,
+            terms: Terms { lease: 4_000, ..Terms::default() },
+        }
     }
 }
 
@@ -74,6 +88,7 @@
     /// How long work takes here; none is never back.
     work: Option<Ms>,
     load_at: Ms,
+    share: Option<f32>,
     /// Sent by it: messages and bytes.
     pub sent: (u64, u64),
 }
@@ -92,6 +107,12 @@
         bytes: Vec<u8>,
     },
     Start(usize),
+    /// An effect of a process that was stopped after it had made sure that it owns the duty.
+    Late {
+        one: usize,
+        duty: String,
+        token: u64,
+    },
     /// Of the machine; one that is not for its `wake` was superseded.
     Wake(usize),
 }
@@ -118,6 +139,10 @@
     format!("n{machine}")
 }
 
+pub fn duty(number: usize) -> String {
+    format!("d{number}")
+}
+
 fn number(name: &str) -> Option<usize> {
     name.strip_prefix('n')?.parse().ok()
 }
@@ -149,6 +174,7 @@
             drained: false,
             work: Some(shape.work),
             load_at: 0,
+            share: None,
             sent: (0, 0),
         };
         let machines = (0..shape.machines).map(machine).collect();
@@ -171,7 +197,7 @@
     }
 
     /// The time that a machine's own clock shows.
-    fn local(&self, one: usize) -> Ms {
+    pub fn local(&self, one: usize) -> Ms {
         let machine = &self.machines[one];
         (self.now as f64 * machine.drift) as Ms + machine.ahead
     }
@@ -193,6 +219,11 @@
             voters: (0..self.shape.voters).map(|n| (name(n), World::address(n))).collect(),
             via: Default::default(),
             rules: self.shape.rules.clone(),
+            duties: (self.shape.duties > 0).then(|| duties::Setup {
+                terms: self.shape.terms,
+                declared: (0..self.shape.duties).map(|n| Declared::plain(&duty(n))).collect(),
+                summary_every: 5_000,
+            }),
             seed,
             wall: self.now,
         };
@@ -238,11 +269,18 @@
                     self.start(one);
                     Some(one)
                 }
+                What::Late { one, duty, token } => {
+                    if self.machines[one].node.is_some() {
+                        self.witness.effect(one, &duty, token);
+                    }
+                    None
+                }
                 What::Wake(one) => self.woken(one, due.at),
             };
             if let Some(one) = moved {
                 self.carry_out(one);
-                self.witness.look(one, &self.machines).map_err(|what| {
+                let looked = self.witness.look(one, &self.machines).and_then(|()| self.one_owner(one));
+                looked.map_err(|what| {
                     let last: Vec<String> = self
                         .log
                         .iter()
@@ -318,7 +356,7 @@
         let over = part / BEARS;
         Digest {
             phase: if cold { Phase::Cold } else { Phase::Serving },
-            share: (1.0 / over).min(1.0),
+            share: machine.share.unwrap_or((1.0 / over).min(1.0)),
             over_aim: over,
             limit: BEARS,
             running: part.min(BEARS),
@@ -359,9 +397,11 @@
                         asked.2 = Some(answer);
                     }
                 }
+                Effect::Duty(change) => self.duty_changed(one, change),
                 Effect::Note(text) => self.say(format!("n{one}: {text}")),
             }
         }
+        self.act(one);
         self.drain(one);
         let now = self.local(one);
         let machine = &mut self.machines[one];
@@ -372,6 +412,53 @@
         }
     }
 
+    fn duty_changed(&mut self, one: usize, change: Change) {
+        // Its work is short: it is finished at once.
+        if let Change::HandOver(duty, _) = change {
+            let now = self.local(one);
+            if let Some(node) = &mut self.machines[one].node {
+                node.release(&duty, now);
+                self.carry_out(one);
+            }
+        }
+    }
+
+    /// An owner does what its duties are for: each effect goes to the receiver with its token.
+    fn act(&mut self, one: usize) {
+        if self.shape.duties == 0 || self.machines[one].stopped_until > self.now {
+            return;
+        }
+        let now = self.local(one);
+        let Some(node) = &self.machines[one].node else { return };
+        for (duty, token) in node.owned(now) {
+            self.witness.effect(one, &duty, token);
+        }
+    }
+
+    /// Those whose own clock says that they own it, stopped ones left out: they do nothing.
+    pub fn owners(&self, duty: &str) -> Vec<usize> {
+        let owns = |one: &usize| {
+            let machine = &self.machines[*one];
+            let node = machine.node.as_ref().filter(|_| machine.stopped_until <= self.now);
+            node.is_some_and(|node| node.owns(duty, self.local(*one)).is_some())
+        };
+        (0..self.machines.len()).filter(owns).collect()
+    }
+
+    /// What the one that moved owns, nobody else does.
+    fn one_owner(&self, moved: usize) -> Result<(), String> {
+        let Some(node) = self.machines[moved].node.as_ref().filter(|_| self.witness.clocks_hold) else {
+            return Ok(());
+        };
+        for (duty, _) in node.owned(self.local(moved)) {
+            let owners = self.owners(&duty);
+            if owners.len() > 1 {
+                return Err(format!("{duty} has owners {owners:?} at once"));
+            }
+        }
+        Ok(())
+    }
+
     /// A server that leaves: drains, says so, goes, and is started again when its work is done.
     fn drain(&mut self, one: usize) {
         let now = self.local(one);
@@ -407,7 +494,17 @@
         match fault {
             Fault::Kill(one) => self.kill(*one),
             Fault::Start(one) => self.start(*one),
-            Fault::Stop(one, span) => self.machines[*one].stopped_until = self.now + span,
+            Fault::Stop(one, span) => {
+                // It stands still between its check and its act: what it owned now is done when it goes on.
+                let now = self.local(*one);
+                let owned = self.machines[*one].node.as_ref().map(|node| node.owned(now)).unwrap_or_default();
+                let until = self.now + span;
+                self.machines[*one].stopped_until = until;
+                for (duty, token) in owned {
+                    self.push(until, What::Late { one: *one, duty, token });
+                }
+            }
+            Fault::Share(one, share) => self.machines[*one].share = Some(*share),
             Fault::LoseDisk(one) => self.machines[*one].folder = Folder::default(),
             Fault::FillDisk(one, full) => {
                 self.machines[*one].folder.0.lock().expect("one thread").1 = *full;
--- a/crates/loomflow-simulation/tests/seeds.rs
+++ b/crates/loomflow-simulation/tests/seeds.rs
@@ -9,7 +9,7 @@
     let voters = if seed.is_multiple_of(3) { 5 } else { 3 };
     let machines = voters + (seed % 4) as usize;
     let zones = 1 + (seed % 3) as usize;
-    let shape = Shape { machines, voters, zones, drift: 0.001, ..Shape::default() };
+    let shape = Shape { machines, voters, zones, drift: 0.001, duties: 6, ..Shape::default() };
     let script = Script::drawn(seed, machines, voters, 12_000, 60_000);
     let mut world = World::new(shape, seed);
     let fail = |world: &World, what: String| {
@@ -35,6 +35,16 @@
     if world.leader().is_none() || open > 0 {
         return Err(fail(&world, format!("{open} open, leader {:?}: {stages:?}", world.leader())));
     }
+    for duty in (0..world.shape.duties).map(loomflow_simulation::world::duty) {
+        let record = world.leader().and_then(|one| world.machines[one].node.as_ref()?.record());
+        let parked = record.is_some_and(|record| record.duties.duties()[&duty].parked.is_some());
+        if world.owners(&duty).len() != usize::from(!parked) {
+            return Err(fail(
+                &world,
+                format!("{duty} has owners {:?}, parked {parked}", world.owners(&duty)),
+            ));
+        }
+    }
     Ok(())
 }
 
