--- a/crates/loomflow-fleet/src/duty/mod.rs
+++ b/crates/loomflow-fleet/src/duty/mod.rs
@@ -4,6 +4,7 @@
 //! - [`tenure`]: what one member knows of its own session and the duties that it owns, by its own clock.
 //! - [`fence`]: what stands at every receiver, and refuses what comes from an owner that is no longer one.
 //! - [`assign`]: who should own what. Only the leader asks; what it decides goes into the log.
+//! - [`job`]: the operators' jobs: when a run begins, and when its process has to end.
 //! - [`schedule`]: when a duty with a schedule is due, and what a missed time means.
 //! - [`summary`]: the duty that sums the fleet up.
 //!
@@ -12,6 +13,7 @@
 
 pub mod assign;
 pub mod fence;
+pub mod job;
 pub mod schedule;
 pub mod state;
 pub mod summary;
--- a/crates/loomflow-fleet/src/duty/tenure.rs
+++ b/crates/loomflow-fleet/src/duty/tenure.rs
@@ -121,6 +121,14 @@
         Some(grant.token)
     }
 
+    /// All that it owns is to be handed over: the server leaves.
+    pub fn recall_all(&mut self) {
+        for grant in self.held.values_mut().filter(|grant| !grant.recalled) {
+            grant.recalled = true;
+            self.changes.push(Change::HandOver(grant.duty.clone(), grant.token));
+        }
+    }
+
     /// The session is over by its own word: the record gives it nothing more.
     pub fn end(&mut self) {
         self.lose_all();
--- a/crates/loomflow-fleet/src/node/duties.rs
+++ b/crates/loomflow-fleet/src/node/duties.rs
@@ -78,6 +78,11 @@
         self.duties.tenure.grant(duty)
     }
 
+    /// The terms that the operators set, as this member has them.
+    pub fn terms(&self) -> Terms {
+        self.setup.duties.as_ref().map_or_else(Terms::default, |setup| setup.terms)
+    }
+
     /// Until when, by its own clock, what it owns is its own.
     pub fn owned_until(&self) -> Ms {
         self.duties.tenure.until()
@@ -89,6 +94,7 @@
             let command = Command::Release { duty: duty.to_owned(), token, to: None };
             self.say_duty(command, now);
         }
+        self.end_session(now);
         self.settle(now);
     }
 
@@ -115,6 +121,7 @@
         }
         let every = setup.summary_every;
         self.duties.tenure.expire(now);
+        self.end_session(now);
         if self.duties.ending.is_none() && self.duties.tenure.is_due(now) {
             let me = self.me();
             let holder = Holder { name: me.name.clone(), incarnation: me.incarnation };
@@ -138,6 +145,10 @@
     }
 
     fn heed_changes(&mut self, now: Ms) {
+        // What comes while this server leaves is handed over at once.
+        if self.phase == Phase::Leaving {
+            self.duties.tenure.recall_all();
+        }
         for change in self.duties.tenure.changes() {
             match &change {
                 Change::Took(grant) => self.note(format!("owns {} by token {}", grant.duty, grant.token)),
@@ -149,37 +160,29 @@
                 }
                 Change::HandOver(..) => {}
             }
-            if self.phase == Phase::Leaving
-                && let Change::Took(grant) = &change
-            {
-                // It came while this server had begun to leave.
-                let over = Change::HandOver(grant.duty.clone(), grant.token);
-                self.effects.extend([Effect::Duty(change), Effect::Duty(over)]);
-                continue;
-            }
             self.effects.push(Effect::Duty(change));
         }
     }
 
     /// The server leaves: all that it owns is to be handed over while it drains.
     pub(super) fn hand_over_all(&mut self, now: Ms) {
-        let held: Vec<(DutyName, Token)> =
-            self.duties.tenure.held().map(|grant| (grant.duty.clone(), grant.token)).collect();
-        for (duty, token) in held {
-            if duty == SUMMARY {
-                self.release(SUMMARY, now);
-            } else {
-                self.effects.push(Effect::Duty(Change::HandOver(duty, token)));
-            }
-        }
+        self.duties.tenure.recall_all();
+        self.heed_changes(now);
     }
 
-    /// The server has drained: its session ends, where it owns nothing any more. What it still owns is over by time alone.
+    /// The server has drained: its session ends as soon as it owns nothing any more. What it still owns when the driver waits
+    /// no longer is over by time alone.
     pub(super) fn end_session(&mut self, now: Ms) {
-        if self.setup.duties.is_none() || self.duties.tenure.held().next().is_some() {
+        if !self.own.drained || self.duties.ended || self.duties.ending.is_some() {
+            return;
+        }
+        if self.setup.duties.is_none() {
             self.duties.ended = true;
             return;
         }
+        if self.duties.tenure.held().next().is_some() {
+            return;
+        }
         self.duties.tenure.end();
         let me = self.me();
         let holder = Holder { name: me.name.clone(), incarnation: me.incarnation };
--- a/crates/loomflow-fleet/src/node/own.rs
+++ b/crates/loomflow-fleet/src/node/own.rs
@@ -29,6 +29,8 @@
     left: Option<RequestId>,
     /// It has been said, or given up.
     pub said_left: bool,
+    /// All that it owed is answered.
+    pub drained: bool,
 }
 
 impl Node {
@@ -117,6 +119,7 @@
     /// All that it owed is answered. Says that it is out, and goes; [`Node::is_over`] tells when that is said.
     pub fn drained(&mut self, now: Ms) {
         self.phase = Phase::Leaving;
+        self.own.drained = true;
         self.say_digest(now);
         self.end_session(now);
         match self.own.leaving {
--- a/crates/loomflow-server/src/fleet/command.rs
+++ b/crates/loomflow-server/src/fleet/command.rs
@@ -1,6 +1,7 @@
 //! `loomflow fleet …`: what an operator says to the server on this machine, and through it to the fleet.
 
 use std::collections::BTreeSet;
+use std::ffi::OsString;
 use std::io::{BufRead, BufReader, Write};
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
@@ -16,7 +17,7 @@
 use loomflow_settings::Options;
 use loomflow_settings::campaign::{self, Campaign};
 
-use super::said;
+use super::{duty_command, said};
 
 pub const USAGE: &str = "\
 usage: loomflow fleet <what> [--options FILE | --socket PATH] [--json]
@@ -32,13 +33,23 @@
   work watch                  until no ticket is open, with a bar
   work wait --server NAME [--timeout 30m]
                               until it has drained: 0 then, 3 when it may not go, 4 when superseded
+  duty list | show NAME | history
+                              who owns which duty, by which token; who did when
+  duty run NAME [--wait 30s] [--longest 1h] -- COMMAND
+                              as the owner of the duty, with LOOMFLOW_DUTY and LOOMFLOW_TOKEN set; ended before its
+                              lease can be over: 0 done, 1 it failed, 3 never the owner, 4 given up
+  duty start NAME             its owner runs its program once, now
+  duty release|park|resume NAME [REASON]
+                              to another owner; to none; again
+  fence FILE --duty NAME --token N -- COMMAND
+                              runs it unless a later owner was here: 4 then; else its own code
   found                       begin a fleet with this voter, once
   recover --yes               make the fleet anew from this voter's folder, when a majority of folders is lost
 
   --options FILE   the server's options file; without it, the file that LOOMFLOW_OPTIONS names
   --socket PATH    the operators' socket itself
 
-exit codes: 0 done, 1 refused or not reached, 2 wrong command line, 3 it may not go, 4 superseded
+exit codes: 0 done, 1 refused or not reached, 2 wrong command line, 3 it may not go or never owned, 4 superseded
 ";
 
 /// An answer is waited for so long: longer than the server itself waits for the leader.
@@ -61,6 +72,7 @@
     History,
     Watch,
     Wait { server: String, timeout: Duration },
+    Duty(duty_command::What),
     Found,
     Recover,
 }
@@ -77,24 +89,38 @@
     window: Option<(Duration, Duration)>,
 }
 
-/// What the command line asks for, the socket, and whether JSON is wanted.
-struct Asked {
-    what: What,
-    socket: PathBuf,
-    json: bool,
+/// What the command line asks for.
+enum Asked {
+    /// Of a server by its socket, and whether JSON is wanted.
+    Server { what: What, socket: PathBuf, json: bool },
+    /// Of no server: a receiver's fence.
+    Fence { file: PathBuf, duty: String, token: u64, command: Vec<OsString> },
 }
 
 /// Runs it. Errors: the command line is wrong, in words.
 pub fn run(parser: lexopt::Parser) -> Result<ExitCode, String> {
-    let Asked { what, socket, json } = read(parser)?;
-    let done = Fleet { socket, json }.run(what);
+    let done = match read(parser)? {
+        Asked::Server { what, socket, json } => Fleet { socket, json }.run(what),
+        Asked::Fence { file, duty, token, command } => duty_command::fence(&file, &duty, token, &command),
+    };
     Ok(done.unwrap_or_else(|why| {
         eprintln!("loomflow: {why}");
         ExitCode::FAILURE
     }))
 }
 
+/// The command behind `--`, and what stands before it.
+fn split(parser: &mut lexopt::Parser) -> Result<(lexopt::Parser, Vec<OsString>), String> {
+    let mut words: Vec<OsString> = parser.raw_args().map_err(|e| e.to_string())?.collect();
+    let at = words.iter().position(|word| word == "--").unwrap_or(words.len());
+    let command = words.split_off(at).into_iter().skip(1).collect();
+    Ok((lexopt::Parser::from_args(words), command))
+}
+
 fn read(mut parser: lexopt::Parser) -> Result<Asked, String> {
+    let (mut parser, command) = split(&mut parser)?;
+    let (mut duty, mut token, mut wait) = (None, None, Duration::ZERO);
+    let mut longest = Duration::from_secs(3_600);
     let mut options = std::env::var_os("LOOMFLOW_OPTIONS").map(PathBuf::from);
     let (mut socket, mut json, mut yes) = (None, false, false);
     let mut asking = Asking::default();
@@ -114,6 +140,10 @@
                     | "for"
                     | "window"
                     | "timeout"
+                    | "duty"
+                    | "token"
+                    | "wait"
+                    | "longest"
             )
         );
         let name = match arg {
@@ -148,6 +178,10 @@
             "urgency" => asking.urgency = urgency(&text)?,
             "for" => asking.lasts = Some(campaign::duration(&text)?),
             "window" => asking.window = Some(campaign::span_of(&text)?),
+            "duty" => duty = Some(text),
+            "token" => token = Some(text.parse().map_err(|_| format!("{text:?} is no token"))?),
+            "wait" => wait = campaign::duration(&text)?,
+            "longest" => longest = campaign::duration(&text)?,
             _ => timeout = campaign::duration(&text)?,
         }
     }
@@ -155,7 +189,19 @@
         print!("{USAGE}");
         std::process::exit(0);
     }
-    let what = what(&words, asking, timeout, yes)?;
+    if let Some("fence") = words.first().map(String::as_str) {
+        let file = words.get(1).ok_or("fence: which file?")?;
+        let (duty, token) = (duty.ok_or("fence: --duty")?, token.ok_or("fence: --token")?);
+        return Ok(Asked::Fence { file: file.into(), duty, token, command });
+    }
+    let what = match words.split_first() {
+        Some((first, rest)) if first == "duty" => {
+            let rest: Vec<&str> = rest.iter().map(String::as_str).collect();
+            What::Duty(duty_command::what(&rest, token, wait, longest, command)?)
+        }
+        _ if !command.is_empty() => return Err("-- COMMAND is for duty run and fence".into()),
+        _ => what(&words, asking, timeout, yes)?,
+    };
     let socket = match (socket, options) {
         (Some(socket), _) => socket,
         (None, Some(file)) => {
@@ -164,7 +210,7 @@
         }
         (None, None) => return Err("which server? give --options FILE or --socket PATH".into()),
     };
-    Ok(Asked { what, socket, json })
+    Ok(Asked::Server { what, socket, json })
 }
 
 fn what(words: &[String], asking: Asking, timeout: Duration, yes: bool) -> Result<What, String> {
@@ -268,6 +314,7 @@
             }
             What::Watch => self.watch(),
             What::Wait { server, timeout } => self.wait(&server, timeout),
+            What::Duty(what) => duty_command::run(what, &self.socket, self.json),
             What::Found => self.done(&Say::Found),
             What::Recover => self.done(&Say::Recover),
         }
--- a/crates/loomflow-server/src/fleet/mod.rs
+++ b/crates/loomflow-server/src/fleet/mod.rs
@@ -4,9 +4,12 @@
 //! - `links`: connections to and from other members.
 //! - `store`: the folder.
 //! - `socket`: the operators' socket.
-//! - `command`: `loomflow fleet …`, the other end of that socket.
+//! - `jobs`: the processes of the operators' duties.
+//! - `command`: `loomflow fleet …`, the other end of that socket; `duty_command`: its part on duties and fences.
 
 pub mod command;
+mod duty_command;
+mod jobs;
 mod links;
 mod said;
 mod socket;
@@ -17,9 +20,11 @@
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use loomflow_fleet::duty::schedule::{Missed, Schedule, When};
+use loomflow_fleet::duty::{Declared, Terms};
 use loomflow_fleet::member::{Digest, Ms, Phase};
-use loomflow_fleet::node::{Effect, Node, Setup};
-use loomflow_fleet::operator::{Hear, Say};
+use loomflow_fleet::node::{Effect, Node, Setup, duties};
+use loomflow_fleet::operator::{Hear, Owned, Say};
 use loomflow_fleet::order::rules::{Amount, Rules};
 use loomflow_settings::Config;
 use loomflow_settings::fleet::{self, Fleet as Options};
@@ -27,6 +32,7 @@
 
 use crate::log;
 use crate::mailbox::{Input, Mailbox};
+use jobs::Jobs;
 use links::Links;
 use socket::Operators;
 
@@ -54,6 +60,7 @@
 pub struct Fleet {
     told: SyncSender<Told>,
     waker: Arc<Waker>,
+    last_word: Duration,
 }
 
 impl Fleet {
@@ -73,14 +80,16 @@
         let (told, hears) = sync_channel(MAILBOX);
         let setup = setup(config, options);
         let disk = Box::new(store::Store::new(&options.state));
+        let jobs = Jobs::new(options.duties.as_ref(), &options.socket());
+        let last_word = last_word(options);
         let driver = move || {
             let now = boot_ms();
             let node = Node::start(setup, disk, now);
-            Driver { poll, links, operators, hears, node, mailbox, over: None }.run();
+            Driver { poll, links, operators, hears, node, mailbox, jobs, last_word, over: None }.run();
         };
         let thread = std::thread::Builder::new().name("fleet".into()).stack_size(STACK);
         thread.spawn(driver).map_err(|e| fault("fleet", e))?;
-        Ok(Fleet { told, waker })
+        Ok(Fleet { told, waker, last_word })
     }
 
     /// The server's load; one that comes while others wait unheard is left out.
@@ -97,7 +106,7 @@
     pub fn drained(&self) {
         let (said, heard) = sync_channel(1);
         self.tell(Told::Drained(said));
-        let _ = heard.recv_timeout(LAST_WORD + LONGEST_SLEEP);
+        let _ = heard.recv_timeout(self.last_word + LONGEST_SLEEP);
     }
 
     fn tell(&self, what: Told) {
@@ -108,6 +117,12 @@
     }
 }
 
+/// How long the last word is waited for: jobs that are told to end have their grace as well.
+fn last_word(options: &Options) -> Duration {
+    let programs = options.duties.as_ref().filter(|duties| duties.programs);
+    LAST_WORD + programs.map_or(Duration::ZERO, |duties| Duration::from_millis(500 * duties.lease_s))
+}
+
 fn setup(config: &Config, options: &Options) -> Setup {
     let amount = |amount| match amount {
         fleet::Amount::Count(count) => Amount::Count(count),
@@ -128,13 +143,35 @@
             warm_for: options.warm_for_s * 1000,
             warm_share: options.warm_share,
         },
-        duties: None,
+        duties: options.duties.as_ref().map(duties),
         // Numbers that are drawn must not come again after a restart.
         seed: config.seed ^ fastrand::u64(..),
         wall,
     }
 }
 
+fn duties(options: &loomflow_settings::duties::Duties) -> duties::Setup {
+    let schedule = |job: &loomflow_settings::duties::Job| {
+        let every = job.every_s().map(When::Every);
+        let when = every.or_else(|| job.cron.clone().map(When::Cron))?;
+        let missed = match job.missed {
+            loomflow_settings::duties::Missed::Skip => Missed::Skip,
+            loomflow_settings::duties::Missed::Once => Missed::Once,
+        };
+        Some(Schedule { when, missed })
+    };
+    let declared = options.jobs.iter().map(|job| Declared {
+        name: job.name.clone(),
+        weight: job.weight,
+        schedule: schedule(job),
+    });
+    duties::Setup {
+        terms: Terms { lease: options.lease_s * 1000, attempts: options.attempts },
+        declared: declared.collect(),
+        summary_every: options.summary_s * 1000,
+    }
+}
+
 /// Ms on the clock that goes on while the machine sleeps and that nobody sets.
 fn boot_ms() -> Ms {
     let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
@@ -148,6 +185,8 @@
     hears: Receiver<Told>,
     node: Node,
     mailbox: Arc<Mailbox>,
+    jobs: Jobs,
+    last_word: Duration,
     /// Whom to tell that the last word is said, and until when it is waited for.
     over: Option<(SyncSender<()>, Ms)>,
 }
@@ -160,11 +199,13 @@
             if now >= self.node.next_wake() {
                 self.node.tick(now);
             }
+            self.jobs.tick(&mut self.node, now);
             self.carry_out(now);
             if let Some((said, until)) = &self.over
                 && (self.node.is_over() || now >= *until)
             {
                 let said = said.clone();
+                self.jobs.end();
                 self.node.end(now);
                 self.carry_out(now);
                 self.links.flush();
@@ -216,7 +257,7 @@
                 Told::Leaving => self.node.leaving(now),
                 Told::Drained(said) => {
                     self.node.drained(now);
-                    self.over = Some((said, now + LAST_WORD.as_millis() as Ms));
+                    self.over = Some((said, now + self.last_word.as_millis() as Ms));
                 }
             }
         }
@@ -232,11 +273,31 @@
                 return;
             }
             Ok(Say::Found) => self.node.begin_alone(false, now).map_or_else(Hear::Fault, |()| Hear::Done),
+            Ok(Say::Owns(duty)) => self.owned(&duty, now),
+            Ok(Say::LetGo(duty)) => {
+                self.jobs.let_go(&duty, &mut self.node, now);
+                Hear::Done
+            }
             Ok(Say::Recover) => self.node.begin_alone(true, now).map_or_else(Hear::Fault, |()| Hear::Done),
         };
         self.operators.answer(from, &hear);
     }
 
+    /// For whoever does a duty's work on this machine.
+    fn owned(&mut self, duty: &str, now: Ms) -> Hear {
+        let Some(token) = self.node.owns(duty, now) else { return Hear::NotOwned };
+        self.jobs.by_hand(duty, now);
+        let left = self.node.owned_until().saturating_sub(now);
+        let grant = self.node.grant(duty);
+        Hear::Owned(Owned {
+            token,
+            left,
+            recalled: grant.is_some_and(|grant| grant.recalled),
+            terms: self.node.terms(),
+            checkpoint: grant.map(|grant| grant.checkpoint.clone()).unwrap_or_default(),
+        })
+    }
+
     fn carry_out(&mut self, now: Ms) {
         for effect in self.node.take() {
             match effect {
@@ -245,9 +306,11 @@
                 }
                 Effect::Leave(_) => self.mailbox.put(Input::Leave),
                 Effect::Answered(id, answer) => {
-                    self.operators.answered(id, &Hear::Answer(answer));
+                    if !self.jobs.answered(id, &answer, &mut self.node, now) {
+                        self.operators.answered(id, &Hear::Answer(answer));
+                    }
                 }
-                Effect::Duty(_) => {}
+                Effect::Duty(change) => self.jobs.changed(change, &mut self.node, now),
                 Effect::Note(text) => log!(part = "fleet", "{text}"),
             }
         }
--- a/crates/loomflow-server/src/fleet/said.rs
+++ b/crates/loomflow-server/src/fleet/said.rs
@@ -1,6 +1,7 @@
 //! What `loomflow fleet` prints: tables for people.
 
 use comfy_table::{CellAlignment, Table, presets};
+use loomflow_fleet::duty::{self, Listed};
 use loomflow_fleet::order::choose::Explained;
 use loomflow_fleet::order::rules::Amount;
 use loomflow_fleet::order::state::Happened;
@@ -48,6 +49,26 @@
     if let Some(reason) = &status.paused {
         text += &format!("work is paused: {reason}\n");
     }
+    if let Some(told) = &status.summary {
+        let sum = &told.summary;
+        let worst: Vec<String> =
+            sum.worst.iter().map(|(zone, full)| format!("{zone} {:.0}%", full * 100.0)).collect();
+        text += &format!(
+            "summed up {:.1} s ago by {} (token {}): {} of {} serve, {:.1} of {:.1} runs at once, share {:.2}, fullest {}\n",
+            told.age as f64 / 1000.0,
+            told.by,
+            told.token,
+            sum.serving,
+            sum.members,
+            sum.carries,
+            sum.bears,
+            sum.share,
+            worst.join(", "),
+        );
+    }
+    if status.refused > 0 {
+        text += &format!("{} orders of old owners were refused here\n", status.refused);
+    }
     if let Some(fault) = &status.fault {
         text += &format!("this server takes no part in the agreement: {fault}\n");
     }
@@ -150,3 +171,56 @@
         Refusal::NoLeader => "no leader could be reached; whether it was done is not known".into(),
     }
 }
+
+pub fn duties(list: &Listed) -> String {
+    let rows = list.duties.iter().map(|row| {
+        let owner = row.owner.as_ref().map_or("-".into(), |owner| owner.name.clone());
+        let state = match (&row.parked, &row.owner) {
+            (Some(why), _) => format!("parked: {why}"),
+            (None, Some(_)) if row.recalled => "to be handed over".into(),
+            (None, Some(_)) if row.unended => format!("runs {}", row.last_run),
+            (None, Some(_)) => "owned".into(),
+            (None, None) => "free".into(),
+        };
+        vec![
+            row.duty.clone(),
+            owner,
+            row.token.to_string(),
+            state,
+            seconds(list.time.saturating_sub(row.since)),
+            if row.last_run > 0 { row.last_run.to_string() } else { "-".into() },
+            row.strikes.len().to_string(),
+            row.refused.to_string(),
+        ]
+    });
+    let head = ["duty", "owner", "token", "state", "since", "last run", "strikes", "refused"];
+    table(&head, rows, &[2, 6, 7]) + "\n"
+}
+
+pub fn duty_events(events: &[duty::Happened]) -> String {
+    let rows = events.iter().map(|one| {
+        vec![
+            format!("{:.1}", one.at as f64 / 1000.0),
+            one.duty.clone(),
+            one.token.to_string(),
+            one.owner.clone(),
+            one.what.word().into(),
+            one.detail.clone(),
+        ]
+    });
+    table(&["at s", "duty", "token", "owner", "what", "detail"], rows, &[0, 2])
+}
+
+pub fn duty_refusal(refusal: &duty::Refusal) -> String {
+    match refusal {
+        duty::Refusal::Unknown(duty) => format!("no duty is called {duty:?}"),
+        duty::Refusal::Stale { duty, token, counts } => {
+            format!("{duty}: token {token} is of an old owner, {counts} counts")
+        }
+        duty::Refusal::FormerSelf(left) => {
+            format!("an earlier start of this server may own something for {left} ms more")
+        }
+        duty::Refusal::Begun { duty, run } => format!("{duty}: run {run} has begun already"),
+        duty::Refusal::Bad(what) => what.clone(),
+    }
+}
--- a/crates/loomflow-settings/src/fleet.rs
+++ b/crates/loomflow-settings/src/fleet.rs
@@ -8,6 +8,8 @@
 use schemars::JsonSchema;
 use serde::Deserialize;
 
+use crate::duties::Duties;
+
 /// The fleet that this server is a member of. Off where absent.
 #[derive(Clone, Debug, Deserialize, JsonSchema, Validate)]
 #[serde(deny_unknown_fields)]
@@ -53,6 +55,9 @@
     #[serde(default = "share")]
     #[garde(range(min = 0.0, max = 1.0))]
     pub warm_share: f32,
+    /// Work on behalf of the fleet that one server does at a time. Off where absent.
+    #[garde(dive)]
+    pub duties: Option<Duties>,
 }
 
 /// One who votes.
@@ -117,6 +122,7 @@
         if self.reached_at().ip().is_unspecified() {
             faults.push("fleet.advertise: needed where listen names no single address".into());
         }
+        faults.extend(self.duties.iter().flat_map(Duties::faults));
         faults
     }
 
--- a/crates/loomflow-settings/src/lib.rs
+++ b/crates/loomflow-settings/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod campaign;
 pub mod config;
+pub mod duties;
 pub mod fleet;
 pub mod guard;
 pub mod options;
--- a/crates/loomflow-standins/src/fleet.rs
+++ b/crates/loomflow-standins/src/fleet.rs
@@ -6,10 +6,10 @@
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
-use std::process::Command;
+use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-use rustix::process::{Pid, Resource, Rlimit, prlimit};
+use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
 use serde_json::Value;
 
 use crate::base::free_address;
@@ -106,6 +106,10 @@
                 }
             }
             world.options(&text);
+            world.variables = vec![
+                ("LOOMFLOW_TEST_FOLDER".into(), folder.clone().into()),
+                ("LOOMFLOW_TEST_PROGRAM".into(), program.to_owned().into()),
+            ];
             let worker = Worker::start(plan.cores, plan.work);
             Member { world, worker, state, address: addresses[one] }
         });
@@ -160,6 +164,32 @@
         self.members[one].world.signal("CONT");
     }
 
+    /// SIGSTOP to a server and all that it started; gives their ids, its own first.
+    pub fn stop_all(&mut self, one: usize) -> Vec<u32> {
+        self.note(format!("{} and all that it started are stopped", name(one)));
+        let mut all = vec![self.members[one].world.pid()];
+        // Nobody starts another one while all before it are stopped.
+        let mut next = 0;
+        while let Some(pid) = all.get(next).copied() {
+            kill_process(Pid::from_raw(pid as i32).expect("an id"), Signal::STOP).expect("it is stopped");
+            all.extend(children(pid));
+            next += 1;
+        }
+        all
+    }
+
+    pub fn continue_all(&mut self, all: &[u32]) {
+        self.note(format!("{all:?} go on"));
+        for pid in all.iter().rev().filter_map(|pid| Pid::from_raw(*pid as i32)) {
+            let _ = kill_process(pid, Signal::CONT);
+        }
+    }
+
+    /// A place for what jobs leave.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
     /// Its folder is lost.
     pub fn lose_folder(&mut self, one: usize) {
         self.note(format!("{} loses its folder", name(one)));
@@ -214,20 +244,36 @@
         self.timeline.push((Instant::now(), what));
     }
 
+    fn command(&self, one: usize, words: &[&str]) -> Command {
+        let member = &self.members[one];
+        let mut command = Command::new(&member.world.program);
+        command.arg("fleet").args(words).arg("--socket").arg(member.state.with_extension("sock"));
+        command
+    }
+
     /// `loomflow fleet …` on a member's machine: exit code, output and errors.
     pub fn say(&self, one: usize, words: &[&str]) -> (i32, String, String) {
-        let member = &self.members[one];
-        let done = Command::new(&member.world.program)
-            .arg("fleet")
-            .args(words)
-            .arg("--socket")
-            .arg(member.state.with_extension("sock"))
-            .output()
-            .expect("the command runs");
+        self.say_then(one, words, &[])
+    }
+
+    /// The same with a command behind it, which is waited for.
+    pub fn say_then(&self, one: usize, words: &[&str], then: &[&str]) -> (i32, String, String) {
+        let mut command = self.command(one, words);
+        if !then.is_empty() {
+            command.arg("--").args(then);
+        }
+        let done = command.output().expect("the command runs");
         let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
         (done.status.code().unwrap_or(-1), text(&done.stdout), text(&done.stderr))
     }
 
+    /// The same, and not waited for.
+    pub fn spawn(&self, one: usize, words: &[&str], then: &[&str]) -> Child {
+        let mut command = self.command(one, words);
+        command.arg("--").args(then).stdout(Stdio::null()).stderr(Stdio::null());
+        command.spawn().expect("the command runs")
+    }
+
     pub fn status(&self, one: usize) -> Value {
         serde_json::from_str(&self.say(one, &["status", "--json"]).1).unwrap_or(Value::Null)
     }
@@ -311,6 +357,18 @@
     }
 }
 
+/// The processes that one started and that run.
+fn children(pid: u32) -> Vec<u32> {
+    let all = std::fs::read_dir("/proc").expect("processes");
+    let of = |entry: std::io::Result<std::fs::DirEntry>| {
+        let one: u32 = entry.ok()?.file_name().to_str()?.parse().ok()?;
+        let stat = std::fs::read_to_string(format!("/proc/{one}/stat")).ok()?;
+        let parent: u32 = stat.rsplit_once(") ")?.1.split_whitespace().nth(1)?.parse().ok()?;
+        (parent == pid).then_some(one)
+    };
+    all.filter_map(of).collect()
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         self.members.iter_mut().for_each(|member| member.world.kill());
--- a/crates/loomflow-standins/src/world.rs
+++ b/crates/loomflow-standins/src/world.rs
@@ -34,6 +34,8 @@
     options: Option<std::path::PathBuf>,
     /// What `$0` stands for.
     pub program: std::path::PathBuf,
+    /// More of the server's environment.
+    pub variables: Vec<(String, std::ffi::OsString)>,
     child: Option<Child>,
     deaf: bool,
     log: Arc<Mutex<String>>,
@@ -74,6 +76,7 @@
             file,
             options: None,
             program: program(),
+            variables: Vec::new(),
             child: None,
             deaf: false,
             log: Arc::default(),
@@ -145,6 +148,7 @@
             .arg(&self.program)
             .env("PROXY_CONFIG", &self.file)
             .envs(self.options.iter().map(|file| ("LOOMFLOW_OPTIONS", file)))
+            .envs(self.variables.iter().cloned())
             .stderr(Stdio::piped())
             .spawn()
             .expect("the server starts");
