--- a/crates/loomflow-fleet/src/duty/assign.rs
+++ b/crates/loomflow-fleet/src/duty/assign.rs
@@ -10,8 +10,7 @@
 
 use super::state::{Duties, Duty};
 use super::{Command, DutyName};
-use crate::member::{FleetMs, Name};
-use crate::order::headroom::Seen;
+use crate::member::{FleetMs, Name, Seen};
 
 /// No server has more than this much over its even part, by weight.
 pub const SPREAD: f64 = 1.25;
--- a/crates/loomflow-fleet/src/duty/job.rs
+++ b/crates/loomflow-fleet/src/duty/job.rs
@@ -76,6 +76,11 @@
         matches!(self.state, State::Runs { .. })
     }
 
+    /// Whether its process was told to end.
+    pub fn is_ending(&self) -> bool {
+        matches!(self.state, State::Runs { termed: true, .. })
+    }
+
     /// What is to be done now. `grant`: what is owned, none where it is no longer. `wall`: Unix seconds.
     pub fn step(&mut self, grant: Option<&Grant>, now: Ms, wall: u64) -> Option<Act> {
         let grant = grant.filter(|grant| grant.token == self.token);
--- a/crates/loomflow-fleet/src/duty/mod.rs
+++ b/crates/loomflow-fleet/src/duty/mod.rs
@@ -48,7 +48,7 @@
 }
 
 /// What the operators set for all duties.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Terms {
     /// How long a session lasts without a word of its server, ms.
     pub lease: u64,
@@ -147,7 +147,7 @@
 }
 
 /// What a server owns, as the record has it.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Kept {
     pub session: SessionId,
     pub terms: Terms,
@@ -155,7 +155,7 @@
 }
 
 /// One duty of an owner.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Grant {
     pub duty: DutyName,
     pub token: Token,
--- a/crates/loomflow-fleet/src/duty/schedule.rs
+++ b/crates/loomflow-fleet/src/duty/schedule.rs
@@ -11,13 +11,13 @@
 /// A run that starts no later than this after its time is in time, s.
 const IN_TIME: u64 = 60;
 
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Schedule {
     pub when: When,
     pub missed: Missed,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum When {
     /// Each time that the Unix time is a multiple of so many seconds.
     Every(u64),
@@ -26,7 +26,7 @@
 }
 
 /// What is done about a time at which nobody could run it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Missed {
     /// The next time is waited for.
     #[default]
--- a/crates/loomflow-fleet/src/duty/tenure.rs
+++ b/crates/loomflow-fleet/src/duty/tenure.rs
@@ -12,7 +12,7 @@
 const SOON: Ms = 20;
 
 /// What a server comes to own, or no longer owns.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Change {
     Took(Grant),
     /// It is to be finished or checkpointed, and released.
@@ -21,7 +21,7 @@
     Lost(DutyName, Token),
 }
 
-#[derive(Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Tenure {
     session: SessionId,
     terms: Terms,
--- a/crates/loomflow-fleet/src/member.rs
+++ b/crates/loomflow-fleet/src/member.rs
@@ -130,6 +130,34 @@
         let figures = [self.share, self.over_aim, self.limit, self.running, self.cores];
         figures.iter().all(|f| f.is_finite() && *f >= 0.0) && self.share <= 1.0
     }
+
+    /// Runs at once that it carries: those in hand, times how far the hold time is over its aim where it is.
+    pub fn carries(&self) -> f64 {
+        f64::from(self.running) * f64::from(self.over_aim).max(1.0)
+    }
+
+    /// Runs at once that it bears: its running limit times the share that it asks for.
+    pub fn bears(&self) -> f64 {
+        f64::from(self.limit) * f64::from(self.share)
+    }
+}
+
+/// What the leader sees of a member; its own row among them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Seen {
+    pub zone: Zone,
+    /// By the membership and its own word, tickets aside.
+    pub standing: Standing,
+    pub incarnation: u64,
+    /// None where the last one is too old to be evidence.
+    pub digest: Option<Digest>,
+}
+
+impl Seen {
+    /// Whether it takes its part of the load.
+    pub fn serves(&self) -> bool {
+        self.standing == Standing::Serving && self.digest.is_some()
+    }
 }
 
 /// How often digests are sent, ms.
--- a/crates/loomflow-fleet/src/node/duties.rs
+++ b/crates/loomflow-fleet/src/node/duties.rs
@@ -200,7 +200,13 @@
             if let Answer::Status(status) = answer
                 && self.owns(SUMMARY, now) == Some(token)
             {
-                self.tell_summary(token, summary::fold(&status.members), now);
+                let rows = status.members.iter().map(|member| summary::Row {
+                    name: &member.name,
+                    zone: &member.zone,
+                    standing: member.standing,
+                    digest: member.digest,
+                });
+                self.tell_summary(token, summary::fold(rows), now);
             }
             return true;
         }
--- a/crates/loomflow-fleet/src/order/headroom.rs
+++ b/crates/loomflow-fleet/src/order/headroom.rs
@@ -11,7 +11,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::member::{Digest, Ms, Name, Standing, Zone};
+pub use crate::member::Seen;
+use crate::member::{Ms, Name, Zone};
 
 /// How full those who stay may be.
 pub const FILL: f64 = 0.85;
@@ -22,32 +23,6 @@
 /// A zone that carries so much of the most it carried of late is in its busiest moment.
 const BUSY: f64 = 0.9;
 
-/// What the leader sees of a member; its own row among them.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Seen {
-    pub zone: Zone,
-    /// By the membership and its own word, tickets aside.
-    pub standing: Standing,
-    pub incarnation: u64,
-    /// None where the last one is too old to be evidence.
-    pub digest: Option<Digest>,
-}
-
-impl Seen {
-    /// Whether it takes its part of the load.
-    pub fn serves(&self) -> bool {
-        self.standing == Standing::Serving && self.digest.is_some()
-    }
-}
-
-pub fn carries(digest: &Digest) -> f64 {
-    f64::from(digest.running) * f64::from(digest.over_aim).max(1.0)
-}
-
-pub fn bears(digest: &Digest) -> f64 {
-    f64::from(digest.limit) * f64::from(digest.share)
-}
-
 /// What was carried of late, in the mean of each grain of the last [`BURST`]: what moves from one server to another is in
 /// both their digests for a moment, and must not look like a burst.
 #[derive(Clone, Debug, Default)]
@@ -108,8 +83,8 @@
         grain.looks += 1.0;
         for seen in members.values() {
             if let Some(digest) = &seen.digest {
-                *grain.zones.entry(seen.zone.clone()).or_default() += carries(digest);
-                grain.all += carries(digest);
+                *grain.zones.entry(seen.zone.clone()).or_default() += digest.carries();
+                grain.all += digest.carries();
             }
         }
     }
@@ -118,11 +93,11 @@
     pub fn estimate(&self, members: &BTreeMap<Name, Seen>, stays: &dyn Fn(&str) -> bool) -> Estimate {
         let digests = || members.iter().filter_map(|(name, seen)| Some((name, seen, seen.digest?)));
         Estimate {
-            now: digests().map(|(_, _, digest)| carries(&digest)).sum(),
+            now: digests().map(|(_, _, digest)| digest.carries()).sum(),
             most: self.grains.iter().map(Grain::all).fold(0.0, f64::max),
             stay: digests()
                 .filter(|(name, seen, _)| seen.serves() && stays(name))
-                .map(|(_, _, digest)| bears(&digest))
+                .map(|(_, _, digest)| digest.bears())
                 .sum(),
         }
     }
@@ -130,7 +105,7 @@
     /// Whether a zone is in its busiest moment of late.
     pub fn is_busy(&self, zone: &str, members: &BTreeMap<Name, Seen>) -> bool {
         let here = members.values().filter(|seen| seen.zone == zone).filter_map(|seen| seen.digest);
-        let now: f64 = here.map(|digest| carries(&digest)).sum();
+        let now: f64 = here.map(|digest| digest.carries()).sum();
         let of_late = self.grains.iter().map(|grain| grain.zone(zone));
         let (least, most) = of_late
             .fold((f64::INFINITY, 0.0_f64), |(least, most), carried| (least.min(carried), most.max(carried)));
@@ -142,6 +117,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::member::{Digest, Standing};
 
     fn fleet(count: usize, running: f32, share: f32, over_aim: f32) -> BTreeMap<Name, Seen> {
         let digest = Digest { share, over_aim, limit: 8.0, running, cores: 8.0, ..Digest::default() };
--- a/crates/loomflow-measure/src/main.rs
+++ b/crates/loomflow-measure/src/main.rs
@@ -5,6 +5,7 @@
 mod amqp;
 mod order;
 mod overload;
+mod owner;
 mod process;
 mod report;
 
@@ -17,6 +18,8 @@
   amqp             the AMQP front: rules, cost, overload, a long queue
   order [PART]     machines taken out for work: rounds under load and under faults, simulation, cost
                    (parts: work, faults, simulated, cost)
+  owner [PART]     duties of a fleet: rounds of faults with an outside receiver, simulation
+                   (parts: rounds, simulated)
   overload [PROGRAM]  answers in time on both fronts beyond what the engine does; beside another build
   against PROGRAM  this build of the server against another one, by RESP";
 
@@ -39,6 +42,12 @@
         Ok((name, what, quick)) => match (name.as_str(), what) {
             ("overload", other) => Ok(overload::measure(quick, process::program(), other.map(Into::into))),
             ("order", part) => order::measure(quick, &process::program(), part.as_deref()),
+            ("owner", part) => owner::measure(quick, &process::program(), part.as_deref()),
+            // What the jobs of that measurement run.
+            ("effects", Some(address)) => {
+                owner::effects::act(&address);
+                return ExitCode::SUCCESS;
+            }
             ("amqp", None) => Ok(amqp::measure(quick)),
             ("against", Some(other)) => Ok(against::measure(quick, process::program(), &other)),
             ("against", None) => Err("against which program?".to_owned()),
--- a/crates/loomflow-measure/src/order/cost.rs
+++ b/crates/loomflow-measure/src/order/cost.rs
@@ -1,14 +1,46 @@
 //! What a fleet costs a server that is in one; what it costs one that is not is told by `against` with an earlier build.
 
 use std::path::Path;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use loomflow_fleet::operator::Say;
+use loomflow_fleet::order::ticket::{Urgency, Wanted};
+use loomflow_fleet::order::{Ask, By, Command};
 use loomflow_standins::fleet::{Fleet, Plan};
 use loomflow_standins::{Worker, World, site};
 
 use crate::process;
 use crate::report::Report;
 
+/// A campaign of so many tickets for servers that are not there, so that none is granted.
+const MANY: usize = 10_000;
+
+/// From the start of a voter whose folder holds ten thousand open tickets until it knows them again, s.
+fn start_with_many(program: &Path) -> f64 {
+    let plan = Plan { members: 3, ..MADE };
+    let mut fleet = Fleet::start_with(plan, program).found(plan);
+    let wanted = (0..MANY).map(|n| Wanted {
+        server: format!("gone{n}"),
+        zone: String::new(),
+        reason: "kernel".into(),
+        urgency: Urgency::Routine,
+        lasts: 60_000,
+        window: None,
+    });
+    let command = Command::Ask(wanted.collect());
+    let say = Say::Fleet(Ask::Do { by: By::Operator("measure".into()), command });
+    fleet.say_line(0, &serde_json::to_string(&say).expect("a line"));
+    let open = |fleet: &Fleet, one: usize| fleet.here(one)["open"].as_u64().unwrap_or(0);
+    fleet.wait_until("all voters have them", |fleet| (0..3).all(|one| open(fleet, one) == MANY as u64));
+    fleet.kill(1);
+    let began = Instant::now();
+    fleet.start_one(1);
+    while open(&fleet, 1) < MANY as u64 && began.elapsed() < Duration::from_secs(20) {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    began.elapsed().as_secs_f64()
+}
+
 const MADE: Plan =
     Plan { members: 5, zones: 1, extra: "", cores: 4, work: Duration::from_millis(5), seed: 1 };
 
@@ -32,6 +64,8 @@
         &["memory MB", "% of a core"],
         vec![vec![format!("{more:.2}"), format!("{:.2}", 100.0 * busy)]],
     );
+    drop(fleet);
+    report.at_most("start_10000_tickets_s", start_with_many(program), 1.0);
     report.at_most("on_memory_mb", more, 4.0);
     report.at_most("on_core", busy, 0.01);
 }
--- /dev/null
+++ b/crates/loomflow-measure/src/owner/judge.rs
@@ -0,0 +1,120 @@
+//! What the receiver's history says, and whether it is one of a register with fenced writes.
+
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use loomflow_fleet::duty::Token;
+use stateright::semantics::{ConsistencyTester, LinearizabilityTester, SequentialSpec};
+
+use super::effects::Effect;
+
+/// Effects looked at on each side of a change of owner.
+const BESIDE: usize = 8;
+
+/// What is wrong with one duty's history.
+#[derive(Default)]
+pub struct Wrong {
+    /// Let in after one of a later owner.
+    pub of_old_owners: u64,
+    /// Owners that came back between effects of another.
+    pub interleaved: u64,
+    /// Windows around a change of owner that no order of fenced writes explains.
+    pub not_linear: u64,
+    pub windows: u64,
+    pub refused: u64,
+}
+
+/// A register that a write with a lower token does not change.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct Fenced(Token);
+
+impl SequentialSpec for Fenced {
+    type Op = Token;
+    type Ret = bool;
+
+    fn invoke(&mut self, token: &Token) -> bool {
+        let lets_in = *token >= self.0;
+        self.0 = self.0.max(*token);
+        lets_in
+    }
+}
+
+pub fn judge(effects: &[Effect], wrong: &mut Wrong) {
+    let mut highest = 0;
+    let mut before = None;
+    let mut had: BTreeSet<Token> = BTreeSet::new();
+    for effect in effects {
+        if !effect.let_in {
+            wrong.refused += 1;
+            continue;
+        }
+        wrong.of_old_owners += u64::from(effect.token < highest);
+        highest = highest.max(effect.token);
+        if before != Some(effect.token) && !had.insert(effect.token) {
+            wrong.interleaved += 1;
+        }
+        before = Some(effect.token);
+    }
+    for at in 1..effects.len() {
+        if effects[at].token != effects[at - 1].token {
+            let window = &effects[at.saturating_sub(BESIDE)..(at + BESIDE).min(effects.len())];
+            // What was let in before the window is what the register holds.
+            let held = effects[..at.saturating_sub(BESIDE)].iter().map(|one| one.token).max().unwrap_or(0);
+            wrong.windows += 1;
+            wrong.not_linear += u64::from(!is_linear(window, held));
+        }
+    }
+}
+
+fn is_linear(window: &[Effect], held: Token) -> bool {
+    enum Side<'a> {
+        Call(&'a Effect),
+        Return(&'a Effect),
+    }
+    let mut sides: Vec<(Instant, u8, Side)> = Vec::new();
+    for effect in window {
+        sides.push((effect.began, 0, Side::Call(effect)));
+        sides.push((effect.ended, 1, Side::Return(effect)));
+    }
+    sides.sort_by_key(|(at, kind, _)| (*at, *kind));
+    let mut tester = LinearizabilityTester::new(Fenced(held));
+    for (_, _, side) in sides {
+        let fine = match side {
+            Side::Call(effect) => tester.on_invoke(effect.by, effect.token).is_ok(),
+            Side::Return(effect) => tester.on_return(effect.by, effect.let_in).is_ok(),
+        };
+        if !fine {
+            return false;
+        }
+    }
+    tester.is_consistent()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::Duration;
+
+    /// Tokens in their order, each let in or not; one connection a token.
+    fn history(all: &[(Token, bool)]) -> Vec<Effect> {
+        let start = Instant::now();
+        let one = |(at, (token, let_in)): (usize, &(Token, bool))| Effect {
+            began: start + Duration::from_millis(10 * at as u64),
+            ended: start + Duration::from_millis(10 * at as u64 + 1),
+            token: *token,
+            let_in: *let_in,
+            by: *token,
+        };
+        all.iter().enumerate().map(one).collect()
+    }
+
+    #[test]
+    fn a_fence_that_lets_an_old_owner_in_is_seen() {
+        let (mut good, mut bad) = (Wrong::default(), Wrong::default());
+        judge(&history(&[(1, true), (2, true), (1, false), (2, true)]), &mut good);
+        assert_eq!((good.of_old_owners, good.interleaved, good.not_linear, good.refused), (0, 0, 0, 1));
+        judge(&history(&[(1, true), (2, true), (1, true), (2, true)]), &mut bad);
+        assert_eq!((bad.of_old_owners, bad.interleaved), (1, 2));
+        assert!(bad.not_linear > 0 && bad.windows == 3);
+    }
+}
--- /dev/null
+++ b/crates/loomflow-measure/src/owner/rounds.rs
@@ -0,0 +1,260 @@
+//! Rounds of faults on five real servers with twenty duties. A round is one fault, drawn from the seed: servers killed, told
+//! to leave, stopped with all that they started, cut off, links that lose and delay. The receiver alone judges.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use loomflow_fleet::duty::Token;
+use loomflow_simulation::abreast;
+use loomflow_standins::fleet::{Fleet, LONG, Plan};
+use loomflow_standins::relay::Trouble;
+use serde_json::Value;
+
+use super::effects::Receiver;
+use super::judge::{Wrong, judge};
+use crate::report::Report;
+
+const MEMBERS: usize = 5;
+const DUTIES: usize = 20;
+const LEASE_S: f64 = 1.0;
+/// Fleets side by side, each with its part of the rounds.
+const FLEETS: u64 = 2;
+/// Every duty has an owner so soon after the last fault, s.
+const OWNED_WITHIN: f64 = 10.0;
+
+#[derive(Default)]
+struct Sum {
+    rounds: u64,
+    wrong: Wrong,
+    without_owner: u64,
+    /// Without an owner, s: after a kill, and after a server was told to leave.
+    killed: Vec<f64>,
+    left: Vec<f64>,
+    /// Duties that changed hands when one server died, and those that it owned.
+    moved: u64,
+    had_to: u64,
+    /// The most that one owns over the mean, after quiet.
+    spread: Vec<f64>,
+    told: Vec<String>,
+}
+
+pub fn measure(report: &mut Report, quick: bool, program: &Path) {
+    let rounds = if quick { 50 } else { 1_000 };
+    let sum = play(rounds, true, program);
+    let bare = play(if quick { 10 } else { 100 }, false, program);
+    let p = |of: &[f64], part: f64| {
+        let mut sorted = of.to_vec();
+        sorted.sort_by(f64::total_cmp);
+        sorted
+            .get(((sorted.len() as f64 * part) as usize).min(sorted.len().max(1) - 1))
+            .copied()
+            .unwrap_or(0.0)
+    };
+    let row = |name: &str, sum: &Sum| {
+        vec![
+            name.to_owned(),
+            sum.rounds.to_string(),
+            sum.wrong.of_old_owners.to_string(),
+            sum.wrong.interleaved.to_string(),
+            format!("{} of {}", sum.wrong.not_linear, sum.wrong.windows),
+            sum.wrong.refused.to_string(),
+            sum.without_owner.to_string(),
+        ]
+    };
+    report.table(
+        "Rounds of faults on five servers with twenty duties, by the outside receiver",
+        &[
+            "receiver",
+            "rounds",
+            "let in of old owners",
+            "interleaved",
+            "windows not linearizable",
+            "refused",
+            "no owner after 10 s",
+        ],
+        vec![row("with its fence", &sum), row("without comparing", &bare)],
+    );
+    report.table(
+        "Without an owner, over the lease of a second; spread and moves",
+        &["after a kill p50", "p99", "after leaving, s p50", "p99", "most over mean", "moves over the least"],
+        vec![vec![
+            format!("{:.2}", p(&sum.killed, 0.5) / LEASE_S),
+            format!("{:.2}", p(&sum.killed, 0.99) / LEASE_S),
+            format!("{:.3}", p(&sum.left, 0.5)),
+            format!("{:.3}", p(&sum.left, 0.99)),
+            format!("{:.2}", p(&sum.spread, 0.5)),
+            format!("{:.2}", sum.moved as f64 / sum.had_to.max(1) as f64),
+        ]],
+    );
+    sum.told.iter().take(1).for_each(|told| println!("{told}"));
+    report.figure("owner_rounds", sum.rounds as f64);
+    report.at_most("of_old_owners", sum.wrong.of_old_owners as f64, 0.0);
+    report.at_most("interleaved", sum.wrong.interleaved as f64, 0.0);
+    report.at_most("not_linearizable", sum.wrong.not_linear as f64, 0.0);
+    report.at_most("without_owner", sum.without_owner as f64, 0.0);
+    report.at_least("harm_without_fence", bare.wrong.of_old_owners as f64, 1.0);
+    report.at_most("killed_p99_leases", p(&sum.killed, 0.99) / LEASE_S, 1.5);
+    report.at_most("left_p99_s", p(&sum.left, 0.99), 0.2);
+    report.at_most("moves_over_least", sum.moved as f64 / sum.had_to.max(1) as f64, 1.2);
+}
+
+fn play(rounds: u64, compares: bool, program: &Path) -> Sum {
+    let each = rounds / FLEETS;
+    let mut all = Sum::default();
+    for sum in abreast(FLEETS as usize, 0..FLEETS, |seed| fleet(seed, each, compares, program)) {
+        all.rounds += sum.rounds;
+        all.wrong.of_old_owners += sum.wrong.of_old_owners;
+        all.wrong.interleaved += sum.wrong.interleaved;
+        all.wrong.not_linear += sum.wrong.not_linear;
+        all.wrong.windows += sum.wrong.windows;
+        all.wrong.refused += sum.wrong.refused;
+        all.without_owner += sum.without_owner;
+        all.killed.extend(sum.killed);
+        all.left.extend(sum.left);
+        all.moved += sum.moved;
+        all.had_to += sum.had_to;
+        all.spread.extend(sum.spread);
+        all.told.extend(sum.told);
+    }
+    all
+}
+
+fn options(receiver: &Receiver) -> String {
+    let program = std::env::current_exe().expect("this program");
+    let mut text =
+        "  begin_within_s: 3\n  warm_for_s: 1\n  duties:\n    lease_s: 1\n    attempts: 100\n    programs: true\n    \
+         jobs:\n"
+            .to_owned();
+    for duty in 0..DUTIES {
+        text += &format!(
+            "      - {{name: d{duty}, every: 1s, run: [\"{}\", effects, \"{}\"]}}\n",
+            program.display(),
+            receiver.address
+        );
+    }
+    text
+}
+
+/// Some rounds on one fleet.
+fn fleet(seed: u64, rounds: u64, compares: bool, program: &Path) -> Sum {
+    let receiver = Receiver::start(compares);
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let extra: &'static str = Box::leak(options(&receiver).into_boxed_str());
+    let plan = Plan { members: MEMBERS, zones: 1, extra, cores: 2, work: Duration::from_millis(5), seed };
+    let mut fleet = Fleet::start_with(plan, program).found(plan);
+    let mut sum = Sum::default();
+    settle(&fleet, &receiver, Instant::now());
+    for round in 0..rounds {
+        let one = rng.usize(0..MEMBERS);
+        // Without the comparison only what an old owner does is looked for.
+        let kind = if compares { rng.usize(0..6) } else { 2 };
+        let span = Duration::from_millis(rng.u64(1_200..2_500));
+        let before = owners(&fleet);
+        let began = Instant::now();
+        match kind {
+            0 => {
+                fleet.kill(one);
+                std::thread::sleep(span);
+                note_moves(&mut sum, &before, &owners(&fleet), one);
+                fleet.start_one(one);
+            }
+            1 => {
+                fleet.members[one].world.terminate();
+                fleet.ended(one);
+                std::thread::sleep(span / 2);
+                fleet.start_one(one);
+            }
+            2 => {
+                let all = fleet.stop_all(one);
+                std::thread::sleep(span * 2);
+                fleet.continue_all(&all);
+            }
+            3 => {
+                fleet.between(&[one], Trouble { cut: true, ..Trouble::default() });
+                std::thread::sleep(span * 2);
+            }
+            4 => {
+                let other = rng.usize(0..MEMBERS);
+                fleet.trouble(one, other, Trouble { stalled: true, ..Trouble::default() });
+                std::thread::sleep(span);
+            }
+            _ => {
+                let (lost, delay) = (rng.f64() * 0.2, Duration::from_millis(rng.u64(0..100)));
+                fleet.everywhere(Trouble { lost, doubled: 0.2, swapped: 0.2, delay, ..Trouble::default() });
+                std::thread::sleep(span);
+            }
+        }
+        fleet.everywhere(Trouble::default());
+        let mended = Instant::now();
+        let took = settle(&fleet, &receiver, mended);
+        if took > OWNED_WITHIN {
+            sum.without_owner += 1;
+            sum.told.push(format!("round {round}, fault {kind}: {took:.1} s\n{}", fleet.told()));
+        }
+        match kind {
+            0 => sum.killed.extend(gaps(&receiver, began)),
+            1 => sum.left.extend(gaps(&receiver, began)),
+            _ => {}
+        }
+        sum.spread.push(spread(&owners(&fleet)));
+        sum.rounds += 1;
+    }
+    for effects in receiver.effects().values() {
+        judge(effects, &mut sum.wrong);
+    }
+    sum
+}
+
+/// Waits until every duty was heard of after a moment; gives how long that took, s.
+fn settle(fleet: &Fleet, receiver: &Receiver, since: Instant) -> f64 {
+    while receiver.heard_since(since) < DUTIES {
+        assert!(since.elapsed() < LONG, "duties without an owner\n{}", fleet.told());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    since.elapsed().as_secs_f64()
+}
+
+/// For how long each duty that changed hands since then was without effects of an owner, s.
+fn gaps(receiver: &Receiver, since: Instant) -> Vec<f64> {
+    let gap = |effects: Vec<super::effects::Effect>| {
+        let let_in: Vec<_> = effects.into_iter().filter(|one| one.let_in).collect();
+        let at = (1..let_in.len())
+            .find(|at| let_in[*at].token != let_in[at - 1].token && let_in[*at].ended > since)?;
+        Some(let_in[at].ended.duration_since(let_in[at - 1].ended).as_secs_f64())
+    };
+    receiver.effects().into_values().filter_map(gap).collect()
+}
+
+/// Owner and token of each duty, by the word of whoever tells it.
+fn owners(fleet: &Fleet) -> BTreeMap<String, (String, Token)> {
+    for one in 0..MEMBERS {
+        let (code, told, _) = fleet.say(one, &["duty", "list", "--json"]);
+        if let (0, Ok(Value::Array(rows))) = (code, serde_json::from_str(&told)) {
+            let row = |row: &Value| {
+                let owner = row["owner"]["name"].as_str()?.to_owned();
+                Some((row["duty"].as_str()?.to_owned(), (owner, row["token"].as_u64()?)))
+            };
+            return rows.iter().filter_map(row).collect();
+        }
+    }
+    BTreeMap::new()
+}
+
+fn note_moves(
+    sum: &mut Sum,
+    before: &BTreeMap<String, (String, Token)>,
+    after: &BTreeMap<String, (String, Token)>,
+    dead: usize,
+) {
+    let dead = format!("n{}", dead + 1);
+    sum.had_to += before.values().filter(|(owner, _)| *owner == dead).count() as u64;
+    sum.moved +=
+        before.iter().filter(|(duty, was)| after.get(*duty).is_some_and(|now| now != *was)).count() as u64;
+}
+
+fn spread(owners: &BTreeMap<String, (String, Token)>) -> f64 {
+    let mut each: BTreeMap<&str, f64> = BTreeMap::new();
+    owners.values().for_each(|(owner, _)| *each.entry(owner).or_default() += 1.0);
+    each.values().copied().fold(0.0, f64::max) / (owners.len().max(1) as f64 / MEMBERS as f64)
+}
--- a/crates/loomflow-server/src/fleet/jobs.rs
+++ b/crates/loomflow-server/src/fleet/jobs.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Whether a process is about to end, so that it is to be looked at soon.
+    pub fn is_ending(&self) -> bool {
+        self.at_work.values().any(|one| one.child.is_some() && one.runs.is_ending())
+    }
+
     /// A duty came, is to go, or is gone.
     pub fn changed(&mut self, change: Change, node: &mut Node, now: Ms) {
         match change {
--- a/crates/loomflow-server/src/fleet/mod.rs
+++ b/crates/loomflow-server/src/fleet/mod.rs
@@ -42,6 +42,8 @@
 const LAST_WORD: Duration = Duration::from_millis(1_500);
 /// Longest sleep: the clock is looked at as often.
 const LONGEST_SLEEP: Duration = Duration::from_millis(200);
+/// The same while a job that was told to end has not ended.
+const CHILD_LOOK: Duration = Duration::from_millis(10);
 const STACK: usize = 512 * 1024;
 
 const WAKE: Token = Token(0);
@@ -213,7 +215,8 @@
                 return;
             }
             let ahead = Duration::from_millis(self.node.next_wake().saturating_sub(now).max(1));
-            if let Err(e) = self.poll.poll(&mut events, Some(ahead.min(LONGEST_SLEEP)))
+            let longest = if self.jobs.is_ending() { CHILD_LOOK } else { LONGEST_SLEEP };
+            if let Err(e) = self.poll.poll(&mut events, Some(ahead.min(longest)))
                 && e.kind() != io::ErrorKind::Interrupted
             {
                 let why = e.to_string();
--- a/crates/loomflow-simulation/src/lib.rs
+++ b/crates/loomflow-simulation/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`witness`]: what must hold after every event, judged by what the processes did and not by what the fleet says.
 
 pub mod abreast;
+mod owners;
 pub mod script;
 pub mod witness;
 pub mod world;
--- a/crates/loomflow-standins/src/fleet.rs
+++ b/crates/loomflow-standins/src/fleet.rs
@@ -278,14 +278,19 @@
         serde_json::from_str(&self.say(one, &["status", "--json"]).1).unwrap_or(Value::Null)
     }
 
-    /// What a member sees by itself, with a leader or without.
-    pub fn here(&self, one: usize) -> Value {
+    /// A line on a member's operators' socket, and its answer.
+    pub fn say_line(&self, one: usize, say: &str) -> Value {
         let socket = self.members[one].state.with_extension("sock");
         let Ok(mut stream) = UnixStream::connect(socket) else { return Value::Null };
-        let _ = stream.write_all(b"\"Here\"\n");
+        let _ = writeln!(stream, "{say}");
         let mut line = String::new();
         let _ = BufReader::new(stream).read_line(&mut line);
-        serde_json::from_str::<Value>(&line).map_or(Value::Null, |told| told["Here"].clone())
+        serde_json::from_str(&line).unwrap_or(Value::Null)
+    }
+
+    /// What a member sees by itself, with a leader or without.
+    pub fn here(&self, one: usize) -> Value {
+        self.say_line(one, "\"Here\"")["Here"].clone()
     }
 
     /// The number of the one who leads, by the word of `one`.
