Campaigns are carried in batches by one owner, halt when a batch comes back worse, ask nothing twice

How far a campaign has come stands in the record; its owner's word for the next batch names the place and carries its token, so that an old owner, or one that repeats itself, changes nothing.

Measured: tests of the function and the record; between processes, a campaign whose owner is killed after the first batch ends with each ticket asked once.

--- a/crates/loomflow-fleet/src/duty/mod.rs
+++ b/crates/loomflow-fleet/src/duty/mod.rs
@@ -274,3 +274,12 @@
         Err(Refusal::Bad("a duty's name has 1 to 64 bytes, none of them a control".into()))
     }
 }
+
+/// A reason, as far as it is kept.
+pub fn cut(why: &str) -> String {
+    let mut end = why.len().min(LONGEST_REASON);
+    while !why.is_char_boundary(end) {
+        end -= 1;
+    }
+    why[..end].to_owned()
+}
--- a/crates/loomflow-fleet/src/duty/state.rs
+++ b/crates/loomflow-fleet/src/duty/state.rs
@@ -10,8 +10,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    Answer, Command, Declared, DutyName, Grant, Happened, Holder, Kept, LONGEST_CHECKPOINT, LONGEST_REASON,
-    Listed, MOST_DUTIES, Note, Refusal, Row, SessionId, Terms, Token, What, check_name,
+    Answer, Command, Declared, DutyName, Grant, Happened, Holder, Kept, LONGEST_CHECKPOINT, Listed,
+    MOST_DUTIES, Note, Refusal, Row, SessionId, Terms, Token, What, check_name, cut,
 };
 use crate::member::{FleetMs, Incarnation, Name};
 use crate::membership::MOST_MEMBERS;
@@ -399,6 +399,11 @@
         self.written.duties.get_mut(duty).ok_or_else(|| Refusal::Unknown(duty.to_owned()))
     }
 
+    /// Whether this token is of the lease of a duty that holds now; a refusal is counted and told.
+    pub fn admits(&mut self, duty: &str, token: Token) -> Result<(), Refusal> {
+        self.own(&duty.to_owned(), token)
+    }
+
     /// The record's own fence: only the token of the lease that holds. Each refusal is counted and told.
     fn own(&mut self, duty: &DutyName, token: Token) -> Result<(), Refusal> {
         let one = self.duty(duty)?;
@@ -488,12 +493,3 @@
         Ok(duties)
     }
 }
-
-/// A reason, as far as it is kept.
-fn cut(why: &str) -> String {
-    let mut end = why.len().min(LONGEST_REASON);
-    while !why.is_char_boundary(end) {
-        end -= 1;
-    }
-    why[..end].to_owned()
-}
--- a/crates/loomflow-fleet/src/node/duties.rs
+++ b/crates/loomflow-fleet/src/node/duties.rs
@@ -9,9 +9,13 @@
 use crate::duty::tenure::{Change, Tenure};
 use crate::duty::{self, Command, Declared, DutyName, Holder, Kept, Note, Terms, Token};
 use crate::member::{Ms, Name, Phase, RequestId};
+use crate::order::campaign::{self, Step};
 use crate::order::{Answer, Ask, By, Told};
+use crate::record::CAMPAIGN;
 use crate::wire::Body;
 
+/// How often whoever carries campaigns looks at them, ms.
+const CAMPAIGN_LOOK: Ms = 1_000;
 /// The duty that sums the fleet up.
 pub const SUMMARY: &str = "summary";
 
@@ -28,7 +32,7 @@
 impl Setup {
     /// All duties there are: the operators' and those that are there from the start.
     pub(super) fn all(&self) -> Vec<Declared> {
-        self.declared.iter().cloned().chain([Declared::plain(SUMMARY)]).collect()
+        self.declared.iter().cloned().chain([SUMMARY, CAMPAIGN].map(Declared::plain)).collect()
     }
 }
 
@@ -42,6 +46,9 @@
     /// When the next one is due, and the question for it that is under way.
     sum_at: Ms,
     sum_asked: Option<(RequestId, Token)>,
+    /// The same of campaigns.
+    campaign_at: Ms,
+    campaign_asked: Option<(RequestId, Token)>,
     /// The word that the session is over: under way, and said.
     ending: Option<RequestId>,
     ended: bool,
@@ -51,7 +58,9 @@
     pub fn next_wake(&self) -> Ms {
         let sums = self.tenure.grant(SUMMARY).is_some();
         let sum_at = if sums { self.sum_at } else { Ms::MAX };
-        if self.ended { Ms::MAX } else { self.tenure.next_wake().min(sum_at) }
+        let carries = self.tenure.grant(CAMPAIGN).is_some();
+        let campaign_at = if carries { self.campaign_at } else { Ms::MAX };
+        if self.ended { Ms::MAX } else { self.tenure.next_wake().min(sum_at).min(campaign_at) }
     }
 
     /// Whether nothing is owned that has to be handed over, and that is said.
@@ -141,9 +150,35 @@
             self.duties.sum_asked = Some((id, token));
             self.submit_as(id, Ask::Status, now);
         }
+        if let Some(token) = self.owns(CAMPAIGN, now)
+            && now >= self.duties.campaign_at
+        {
+            self.duties.campaign_at = now + CAMPAIGN_LOOK;
+            let id = self.rng.random();
+            self.duties.campaign_asked = Some((id, token));
+            self.submit_as(id, Ask::Campaigns, now);
+        }
         self.heed_changes(now);
     }
 
+    /// What is to be done about each campaign: said with the token, so that an owner that is no longer one changes nothing.
+    fn carry_campaigns(&mut self, token: Token, views: &[campaign::View], now: Ms) {
+        for view in views {
+            let name = view.name.clone();
+            let command = match campaign::step(view) {
+                None => continue,
+                Some(Step::Next { from, base }) => campaign::Command::Next { name, from, base, token },
+                Some(Step::Halt { from, reason }) => {
+                    self.note(format!("campaign {name} halts: {reason}"));
+                    campaign::Command::Halt { name, from, reason, token }
+                }
+            };
+            let (server, incarnation) = (self.me().name.clone(), self.me().incarnation);
+            let command = crate::order::Command::Campaign(command);
+            self.submit(Ask::Do { by: By::Server { name: server, incarnation }, command }, now);
+        }
+    }
+
     fn heed_changes(&mut self, now: Ms) {
         // What comes while this server leaves is handed over at once.
         if self.phase == Phase::Leaving {
@@ -153,9 +188,10 @@
             match &change {
                 Change::Took(grant) => self.note(format!("owns {} by token {}", grant.duty, grant.token)),
                 Change::Lost(duty, token) => self.note(format!("no longer owns {duty}, token {token}")),
-                // Nothing of a summary is worth finishing.
-                Change::HandOver(duty, _) if duty == SUMMARY => {
-                    self.release(SUMMARY, now);
+                // Nothing of these is worth finishing: the record has how far they are.
+                Change::HandOver(duty, _) if duty == SUMMARY || duty == CAMPAIGN => {
+                    let duty = duty.clone();
+                    self.release(&duty, now);
                     continue;
                 }
                 Change::HandOver(..) => {}
@@ -210,6 +246,15 @@
             }
             return true;
         }
+        if let Some((_, token)) = self.duties.campaign_asked.filter(|(asked, _)| *asked == id) {
+            self.duties.campaign_asked = None;
+            if let Answer::Campaigns(views) = answer
+                && self.owns(CAMPAIGN, now) == Some(token)
+            {
+                self.carry_campaigns(token, views, now);
+            }
+            return true;
+        }
         if !self.duties.tenure.is_own(id) {
             return false;
         }
--- a/crates/loomflow-fleet/src/node/status.rs
+++ b/crates/loomflow-fleet/src/node/status.rs
@@ -30,6 +30,10 @@
                 let listed = self.record()?.duties.list();
                 Some(Answer::Duty(crate::duty::Answer::List(Box::new(listed))))
             }
+            Ask::Campaigns => {
+                let record = self.record()?;
+                Some(Answer::Campaigns(record.campaigns.views(&record.order, &self.seen(now))))
+            }
             Ask::Explain(server) => {
                 let (order, members) = (self.order()?, self.seen(now));
                 let leader = self.setup.name.as_str();
--- a/crates/loomflow-fleet/src/order/mod.rs
+++ b/crates/loomflow-fleet/src/order/mod.rs
@@ -6,8 +6,10 @@
 //! - [`state`]: the machine: applies entries, keeps its bounds, and lets time do its part.
 //! - [`headroom`]: whether those who stay bear what the fleet carries, judged from their digests.
 //! - [`choose`]: who goes next, and why each of the others waits. Only the leader asks; what it decides goes into the log.
+//! - [`campaign`]: many tickets in batches, and when a campaign halts.
 //! - [`watch`]: what the leader sees of members and makes moves of: left, back, warm.
 
+pub mod campaign;
 pub mod choose;
 pub mod headroom;
 pub mod rules;
@@ -65,6 +67,8 @@
     Clock,
     /// On a duty: [`crate::record`] takes it, and the order only its time.
     Duty(duty::Command),
+    /// On a campaign; [`crate::record`] takes it as well.
+    Campaign(campaign::Command),
 }
 
 /// Whom the leader saw when it decided: what a grant rests on beside the tickets.
@@ -90,6 +94,7 @@
     Explain(Name),
     /// All duties, and what happened to them.
     Duties,
+    Campaigns,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -105,6 +110,7 @@
     },
     Explained(choose::Explained),
     Duty(duty::Answer),
+    Campaigns(Vec<campaign::View>),
 }
 
 /// The fleet as its leader sees it.
--- a/crates/loomflow-fleet/src/order/state.rs
+++ b/crates/loomflow-fleet/src/order/state.rs
@@ -185,7 +185,7 @@
                 Ok(Vec::new())
             }
             Command::Clock => Ok(Vec::new()),
-            Command::Duty(_) => Err(Refusal::NotYours),
+            Command::Duty(_) | Command::Campaign(_) => Err(Refusal::NotYours),
         };
         done.map_or_else(Answer::Refused, Answer::Done)
     }
@@ -195,6 +195,16 @@
     }
 
     fn ask(&mut self, entry: &Entry, wanted: &[Wanted]) -> Result<Vec<TicketId>, Refusal> {
+        let by = match &entry.by {
+            By::Operator(who) => who.clone(),
+            By::Server { name, .. } => name.clone(),
+            By::Leader => "the leader".into(),
+        };
+        self.ask_for(entry.id, &by, wanted)
+    }
+
+    /// Takes in tickets, all or none. `key`: of the request that they came with.
+    pub fn ask_for(&mut self, key: RequestId, by: &str, wanted: &[Wanted]) -> Result<Vec<TicketId>, Refusal> {
         if self.kept.open.len() + wanted.len() > MOST_OPEN {
             return Err(Refusal::TooMany(self.kept.open.len() as u32));
         }
@@ -203,11 +213,6 @@
             return Err(Refusal::Bad("each server once, and at least one".into()));
         }
         wanted.iter().try_for_each(Wanted::check)?;
-        let by = match &entry.by {
-            By::Operator(who) => who.clone(),
-            By::Server { name, .. } => name.clone(),
-            By::Leader => "the leader".into(),
-        };
         let now = self.kept.time;
         let mut ids = Vec::with_capacity(wanted.len());
         for one in wanted {
@@ -215,9 +220,9 @@
             let id = self.kept.last_ticket;
             self.put(Ticket {
                 id,
-                key: entry.id,
+                key,
                 wanted: one.clone(),
-                by: by.clone(),
+                by: by.to_owned(),
                 stage: Stage::Asked,
                 asked_at: now,
                 since: now,
--- a/crates/loomflow-server/src/fleet/command.rs
+++ b/crates/loomflow-server/src/fleet/command.rs
@@ -11,6 +11,7 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use lexopt::prelude::*;
 use loomflow_fleet::operator::{Hear, Say};
+use loomflow_fleet::order::campaign as campaign_order;
 use loomflow_fleet::order::state::Happened;
 use loomflow_fleet::order::ticket::{Move, Stage, Ticket, TicketId, Urgency, Wanted};
 use loomflow_fleet::order::{Answer, Ask, By, Command, Status};
@@ -27,6 +28,10 @@
   work ask (--server NAME)… | --zone ZONE | --all | --file FILE
            [--reason TEXT] [--urgency routine|urgent|broken] [--for 20m] [--window 30m..4h]
                               tickets to be taken out for work
+           [--campaign NAME --batch N]
+                              the same N at a time; halts when a batch comes back worse (needs fleet.duties)
+  work campaigns | resume NAME | drop NAME
+                              how far each is; on where it halted; no further
   work withdraw|write-off TICKET…
   work pause REASON | resume  no grants until resumed
   work list | history         open tickets; what happened
@@ -73,6 +78,8 @@
     Watch,
     Wait { server: String, timeout: Duration },
     Duty(duty_command::What),
+    Campaigns,
+    Campaign(campaign_order::Command),
     Found,
     Recover,
 }
@@ -87,6 +94,9 @@
     urgency: Urgency,
     lasts: Option<Duration>,
     window: Option<(Duration, Duration)>,
+    /// A campaign of that name, and its tickets at once.
+    campaign: Option<String>,
+    batch: u32,
 }
 
 /// What the command line asks for.
@@ -144,6 +154,8 @@
                     | "token"
                     | "wait"
                     | "longest"
+                    | "campaign"
+                    | "batch"
             )
         );
         let name = match arg {
@@ -178,6 +190,8 @@
             "urgency" => asking.urgency = urgency(&text)?,
             "for" => asking.lasts = Some(campaign::duration(&text)?),
             "window" => asking.window = Some(campaign::span_of(&text)?),
+            "campaign" => asking.campaign = Some(text),
+            "batch" => asking.batch = text.parse().map_err(|_| format!("{text:?} is no number"))?,
             "duty" => duty = Some(text),
             "token" => token = Some(text.parse().map_err(|_| format!("{text:?} is no token"))?),
             "wait" => wait = campaign::duration(&text)?,
@@ -230,6 +244,9 @@
             }
             Ok(What::Ask(asking))
         }
+        ["work", "campaigns"] => Ok(What::Campaigns),
+        ["work", "resume", name] => Ok(What::Campaign(campaign_order::Command::Resume((*name).to_owned()))),
+        ["work", "drop", name] => Ok(What::Campaign(campaign_order::Command::Drop((*name).to_owned()))),
         ["work", "withdraw", rest @ ..] => Ok(What::Move(Move::Withdraw, tickets(rest)?)),
         ["work", "write-off", rest @ ..] => Ok(What::Move(Move::WriteOff, tickets(rest)?)),
         ["work", "pause", reason @ ..] => Ok(What::Pause(reason.join(" "))),
@@ -288,7 +305,13 @@
             },
             What::Ask(asking) => {
                 let wanted = self.wanted(&asking)?;
-                self.order(Command::Ask(wanted))
+                match asking.campaign {
+                    Some(name) => {
+                        let batch = asking.batch.max(1);
+                        self.order(Command::Campaign(campaign_order::Command::Start { name, wanted, batch }))
+                    }
+                    None => self.order(Command::Ask(wanted)),
+                }
             }
             What::Move(by, tickets) => {
                 let mut code = ExitCode::SUCCESS;
@@ -300,6 +323,11 @@
                 }
                 Ok(code)
             }
+            What::Campaign(command) => self.order(Command::Campaign(command)),
+            What::Campaigns => match self.ask(Ask::Campaigns)? {
+                Answer::Campaigns(views) => self.print(&views, || said::campaigns(&views)),
+                other => Err(unexpected(&other)),
+            },
             What::Pause(reason) => self.order(Command::Pause(reason)),
             What::Resume => self.order(Command::Resume),
             What::List => {
--- a/crates/loomflow-server/src/fleet/said.rs
+++ b/crates/loomflow-server/src/fleet/said.rs
@@ -2,6 +2,7 @@
 
 use comfy_table::{CellAlignment, Table, presets};
 use loomflow_fleet::duty::{self, Listed};
+use loomflow_fleet::order::campaign::{Stand, View};
 use loomflow_fleet::order::choose::Explained;
 use loomflow_fleet::order::rules::Amount;
 use loomflow_fleet::order::state::Happened;
@@ -224,3 +225,23 @@
         duty::Refusal::Bad(what) => what.clone(),
     }
 }
+
+pub fn campaigns(views: &[View]) -> String {
+    let rows = views.iter().map(|view| {
+        let last = view.last.iter().map(|(server, stage)| {
+            format!("{server} {}", stage.map_or("long over", loomflow_fleet::order::ticket::Stage::word))
+        });
+        vec![
+            view.name.clone(),
+            match &view.stand {
+                Stand::Runs => "runs".into(),
+                Stand::Halted(why) => format!("halted: {why}"),
+                Stand::Done => "done".into(),
+            },
+            format!("{} of {}", view.next, view.all),
+            last.collect::<Vec<_>>().join(", "),
+            view.by.clone(),
+        ]
+    });
+    table(&["campaign", "state", "asked", "last batch", "by"], rows, &[2])
+}
--- a/crates/loomflow-server/tests/duties.rs
+++ b/crates/loomflow-server/tests/duties.rs
@@ -244,6 +244,43 @@
     }
 }
 
+#[test]
+fn a_campaign_goes_on_where_its_killed_owner_stopped_and_asks_for_nothing_twice() {
+    let mut fleet = Fleet::founded(Plan { extra: "  warm_for_s: 1\n  duties: {lease_s: 2}\n", ..FOUR });
+    let file = fleet.folder().join("campaign.yaml");
+    std::fs::write(
+        &file,
+        "tickets:\n  - {server: n4, reason: k, lasts: 1m}\n  - {server: n3, reason: k, lasts: 1m}\n",
+    )
+    .unwrap();
+    let words = ["work", "ask", "--file", file.to_str().unwrap(), "--campaign", "kernel", "--batch", "1"];
+    assert_eq!(fleet.say(0, &words).0, 0);
+    assert_eq!(fleet.say(0, &words).0, 1, "it is there already");
+    assert_eq!(fleet.ended(3), Some(0));
+    let by = |owner: usize| (owner + 1) % 3;
+    let owner = owned(&fleet, 0, "campaign");
+    if owner != 3 {
+        fleet.kill(owner);
+        fleet.wait_until("another carries it", |fleet| {
+            self::owner(fleet, by(owner), "campaign").is_some_and(|now| now != owner)
+        });
+        fleet.start_one(owner);
+    }
+    fleet.start_one(3);
+    assert_eq!(fleet.ended(2), Some(0), "{}", fleet.told());
+    fleet.start_one(2);
+    fleet.wait_until("it is done", |fleet| {
+        fleet.say(0, &["work", "campaigns", "--json"]).1.contains("\"Done\"")
+    });
+    let (_, told, _) = fleet.say(0, &["work", "history", "--json"]);
+    let events: serde_json::Value = serde_json::from_str(&told).unwrap();
+    let tickets: std::collections::BTreeSet<u64> =
+        events.as_array().unwrap().iter().filter_map(|event| event["ticket"].as_u64()).collect();
+    assert_eq!(tickets.len(), 2, "{told}");
+    assert_eq!(fleet.say(0, &["work", "drop", "kernel"]).0, 0);
+    assert_eq!(fleet.say(0, &["work", "drop", "kernel"]).0, 1);
+}
+
 // ---- The receiver's half ----
 
 fn program() -> PathBuf {
--- a/crates/loomflow-settings/src/duties.rs
+++ b/crates/loomflow-settings/src/duties.rs
@@ -116,8 +116,10 @@
     pub fn faults(&self) -> Vec<String> {
         let mut faults = Vec::new();
         let names: BTreeSet<&str> = self.jobs.iter().map(|job| job.name.as_str()).collect();
-        if names.len() < self.jobs.len() || names.contains("summary") {
-            faults.push("fleet.duties.jobs: each name once, and `summary` is there from the start".into());
+        if names.len() < self.jobs.len() || names.contains("summary") || names.contains("campaign") {
+            faults.push(
+                "fleet.duties.jobs: each name once; `summary` and `campaign` are there from the start".into(),
+            );
         }
         for (at, job) in self.jobs.iter().enumerate() {
             let mut fault = |key: &str, what: &str| {
