What the leader proposed and was agreed on is followed at once, and time's part is done when it is due

Cause: the end of a session and the choice of the next owner were two rounds of 250 ms each, begun at the next round after they were due (lead.rs, round). Now a round follows as soon as all that was proposed is agreed on, and the leader wakes when something is due.

--- a/crates/loomflow-fleet/src/node/lead.rs
+++ b/crates/loomflow-fleet/src/node/lead.rs
@@ -32,8 +32,11 @@
 }
 
 impl Lead {
+    /// What it proposed is agreed on: what follows from it need not wait for the next round.
     pub fn came_of(&mut self, id: RequestId) {
-        self.open.remove(&id);
+        if self.open.remove(&id) && self.open.is_empty() {
+            self.round_at = 0;
+        }
     }
 }
 
@@ -53,7 +56,7 @@
             self.lead.begun = Some((now, self.order().map_or(0, |order| order.time())));
             self.effects.push(Effect::Note("leads the fleet".into()));
         }
-        if now < self.lead.round_at {
+        if now < self.next_round() {
             return;
         }
         self.lead.round_at = now + ROUND;
@@ -69,6 +72,21 @@
         }
     }
 
+    /// When the leader is to look again: at its next round, or when time has something to do.
+    pub(super) fn next_round(&self) -> Ms {
+        let Some((since, from)) = self.lead.begun.filter(|_| self.lead.open.is_empty()) else {
+            return self.lead.round_at;
+        };
+        let due = self.next_due().filter(|due| self.record().is_some_and(|r| r.order.time() < *due));
+        due.map_or(self.lead.round_at, |due| self.lead.round_at.min(since + due.saturating_sub(from)))
+    }
+
+    /// When the fleet's time has something to do.
+    fn next_due(&self) -> Option<FleetMs> {
+        let record = self.record()?;
+        record.order.next_due().into_iter().chain(record.duties.next_due()).min()
+    }
+
     /// Brings the votes to whom the settings name, by the seats that they tell.
     fn seat_voters(&mut self) {
         let seat = |name: &Name| {
@@ -92,8 +110,7 @@
         if order.rules() != Some(&self.setup.rules) {
             return vec![Command::Rules(self.setup.rules.clone())];
         }
-        let due = self.record().and_then(|record| record.duties.next_due());
-        let waits = order.next_due().into_iter().chain(due).min();
+        let waits = self.next_due();
         if waits.is_some_and(|at| at <= fleet_now || fleet_now >= order.time() + CLOCK) {
             return vec![Command::Clock];
         }
--- a/crates/loomflow-fleet/src/node/mod.rs
+++ b/crates/loomflow-fleet/src/node/mod.rs
@@ -239,6 +239,7 @@
     pub fn next_wake(&self) -> Ms {
         let agreement = self.agreement.as_ref().map_or(Ms::MAX, Agreement::next_wake);
         let duties = if self.setup.duties.is_some() { self.duties.next_wake() } else { Ms::MAX };
+        let duties = if self.leads() { duties.min(self.next_round()) } else { duties };
         self.membership.next_wake().min(agreement).min(self.digest_at).min(self.asks.next_wake()).min(duties)
     }
 
