A former job's process is ended by a word, so that it takes the job's group with it

Seen on reading the change through: when a duty came back under a new token while the former run's process had not ended, the server killed that process, and the job that it watched over went on without a watch (jobs.rs, changed). It gets TERM now, ends the group before itself, and is looked after until it is gone. Ruled out: harm by it, as receivers refuse the old token.

--- a/crates/loomflow-server/src/fleet/jobs.rs
+++ b/crates/loomflow-server/src/fleet/jobs.rs
@@ -30,6 +30,8 @@
     /// Those with a program, where programs are switched on.
     set: BTreeMap<DutyName, Job>,
     at_work: BTreeMap<DutyName, One>,
+    /// Processes of former tokens that have not ended yet.
+    former: Vec<Child>,
     /// Runs whose beginning or end is on its way into the record.
     writes: BTreeMap<RequestId, (DutyName, Token, bool)>,
     /// Duties whose work somebody does by hand, with when they last asked.
@@ -46,6 +48,7 @@
         Jobs {
             set: options.map(with_program).unwrap_or_default(),
             at_work: BTreeMap::new(),
+            former: Vec::new(),
             writes: BTreeMap::new(),
             by_hand: BTreeMap::new(),
             socket: socket.to_owned(),
@@ -63,11 +66,10 @@
             Change::Took(grant) if self.set.contains_key(&grant.duty) => {
                 // One of a former token may still be ending: its process sees that it is not the owner any more.
                 let one = One { runs: Runs::new(&grant), child: None };
-                if let Some(mut before) = self.at_work.insert(grant.duty, one)
-                    && let Some(child) = &mut before.child
-                {
-                    signal(child, Signal::KILL);
-                    let _ = child.wait();
+                if let Some(child) = self.at_work.insert(grant.duty, one).and_then(|before| before.child) {
+                    // By a word and not by force: it ends the job's group before itself.
+                    signal(&child, Signal::TERM);
+                    self.former.push(child);
                 }
             }
             Change::Took(_) => {}
@@ -146,6 +148,7 @@
             }
             self.carry_out(&duty, act, node, now);
         }
+        self.former.retain_mut(|child| matches!(child.try_wait(), Ok(None)));
         // Whoever asked by hand and is silent has gone: what waits for it is handed over.
         let silent: Vec<DutyName> =
             self.by_hand.iter().filter(|(_, at)| now > **at + SILENT).map(|(duty, _)| duty.clone()).collect();
