Connections: kept full only where refusals take most of the cores, closed while cores idle

Cause (Connections::used): the rule kept or closed by how often callers come back against half the busy share of the cores. It compared nothing with what a new connection costs. With a full table on an idle server the rule kept (busy near 0), so that room never came back.

Change: what is no run on the cores is measured. Over 0.55 of them, connections are kept longer while cores are over 0.85 busy and closed sooner under that; else the former rule, looked at once a span, with what callers can be expected to do at the present rate as a prior; cores with time beside a table that may be full close sooner.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -47,10 +47,24 @@
 const TURNS: f64 = 4.0;
 /// Part of a class aim that each tier leaves to the one below it.
 const BELOW: f64 = 0.33;
-/// Room in the table for this multiple of the shortest aim is held to cost as much as a handshake.
+/// Callers are held to come back soon if they do within this multiple of the shortest aim.
 const KEEP_OPEN: f64 = 4.0;
-/// On full cores connections are kept while this part of the requests comes over one used so recently.
+/// On full cores connections are kept while this part of the requests comes from callers that were here so recently.
 const REUSED: f64 = 0.5;
+/// What is no run may take this part of the cores. A full table takes about a third of them, and what little is read
+/// beside it the rest: beyond this, keeping the table full leaves more for runs.
+const OVERHEAD: f64 = 0.55;
+/// Then connections are kept longer while the cores are busier than this.
+const BUSY: f64 = 0.85;
+/// Their idle time over that before, each sample.
+const KEEP_LONGER: f64 = 1.3;
+const CLOSE_SOONER: f64 = 0.6;
+/// A table that holds more than this part of the most that was seen in it may be full.
+const ROOM: f64 = 0.9;
+/// It is not while this part of the callers has a connection: the others may never come.
+const FEW: f64 = 0.25;
+/// So many requests tell whether callers come back.
+const ENOUGH: u32 = 10;
 /// Calls that take more than this multiple of their best usual time crowd what lies below.
 const SLOWER: f64 = 3.0;
 /// Then as little as this part of the told share is used; each call that is not slow gives back half as much.
@@ -213,12 +227,7 @@
             refused_age: Mean::default(),
             quotas: set.tenants.iter().map(|_| (f64::MAX, now)).collect(),
             gauges: Gauges::default(),
-            connections: Connections {
-                span: shortest * KEEP_OPEN,
-                since: now,
-                kept: true,
-                ..Default::default()
-            },
+            connections: Connections::new(&set, shortest * KEEP_OPEN, now),
             kb_held: 0.0,
             kb_running: 0.0,
             kb_largest: 0.0,
@@ -235,7 +244,7 @@
         match event {
             Event::Arrived(arrival) => self.arrived(arrival, out),
             Event::CallerGone(id) => self.caller_gone(id, out),
-            Event::TimerFired(gauges) => self.gauges = gauges,
+            Event::TimerFired(gauges) => self.measured(gauges),
             Event::NeedsCall(id) => self.needs_call(id),
             Event::CallEnded { id, outcome, took } => self.call_ended(id, outcome, took, out),
             Event::RunEnded { id, outcome, took } => self.run_ended(id, outcome, took),
@@ -244,6 +253,13 @@
         }
     }
 
+    fn measured(&mut self, gauges: Gauges) {
+        self.gauges = gauges;
+        if let Some(on_cores) = gauges.on_cores {
+            self.connections.measured(on_cores, self.running, self.set.cores);
+        }
+    }
+
     /// The load as this module sees it.
     pub fn load(&self) -> Load {
         let over_aim = (1.0 - self.share.error).max(0.0);
@@ -300,7 +316,7 @@
         let aim = (class.aim + stretch) * self.patience() - spent;
         self.kb_largest = self.kb_largest.max(a.kb);
         self.share.read(a.age);
-        self.connections.used(self.now, a.caller, self.gauges.core_use.unwrap_or(1.0), self.set.idle, out);
+        self.connections.used(self.now, a.caller, self.set.callers);
         let over_share = self.over_share(a.tenant);
         let mut request = Request {
             class: a.class,
@@ -488,6 +504,9 @@
         let held = self.hold.iter().filter_map(|k| self.requests.get(&k.2));
         let oldest = held.fold(0.0, |oldest: f64, r| oldest.max(self.now - r.reached));
         self.share.sample(self.now, oldest);
+        if let Some(idle) = self.connections.sample(self.now, &self.gauges, &self.set) {
+            out.push(Action::CloseIdleAfter(idle));
+        }
         if self.starved() {
             self.limit.cut(self.now, self.set.cores / 3.0);
         }
@@ -1002,33 +1021,102 @@
     }
 }
 
-/// Closes idle connections at once where callers seldom come back while a kept one is worth its room: guards
-/// against many callers filling the table and finding no room; also frees what a full table costs. Could harm
-/// where a handshake costs far more than a request.
-#[derive(Default)]
+/// How long connections may stay idle. They are closed at once where callers seldom come back, which frees what a
+/// full table costs, and sooner while cores idle beside a table that may be full. Where turning away takes most of
+/// the cores, they are kept while the cores are busy: a full table turns newcomers away for nothing, where each one
+/// let in costs its connection, a read and a refusal. Guards against retries that live on what they cost. Could harm
+/// where newcomers are worth much more than those that have a connection.
 struct Connections {
     /// When each caller last came, for those that came within the span.
     seen: BTreeMap<u64, f64>,
     span: f64,
     since: f64,
+    born: f64,
+    arrivals: f64,
     reused: Mean,
-    kept: bool,
+    /// Callers come back often enough.
+    keeps: bool,
+    /// Part of what stands on the cores that is no run: reading, new connections, checks.
+    overhead: Mean,
+    overhead_sum: f64,
+    overhead_samples: f64,
+    /// Turning away has taken most of the cores, and the cores have not been at leisure since.
+    crowded: bool,
+    idle: f64,
+    /// The most connections that were seen open.
+    most: f64,
 }
 
 impl Connections {
-    fn used(&mut self, now: f64, caller: u64, busy: f64, idle: f64, out: &mut Vec<Action>) {
-        let again = self.seen.insert(caller, now).is_some_and(|last| now - last < self.span);
-        self.reused.add(f64::from(u8::from(again)));
-        if now - self.since < self.span {
-            return;
+    fn new(set: &Settings, span: f64, now: f64) -> Connections {
+        Connections {
+            seen: BTreeMap::new(),
+            span,
+            since: now,
+            born: now,
+            arrivals: 0.0,
+            reused: Mean::default(),
+            keeps: true,
+            overhead: Mean::default(),
+            overhead_sum: 0.0,
+            overhead_samples: 0.0,
+            crowded: false,
+            idle: set.idle,
+            most: 0.0,
         }
-        self.since = now;
-        self.seen.retain(|_, last| now - *last < self.span);
-        let keep = self.reused.value >= REUSED * busy;
-        if keep != self.kept {
-            self.kept = keep;
-            out.push(Action::CloseIdleAfter(if keep { idle } else { BEAT }));
+    }
+
+    fn used(&mut self, now: f64, caller: u64, callers: f64) {
+        self.arrivals += 1.0;
+        let reused = match self.seen.insert(caller, now) {
+            Some(last) if now - last < self.span => 1.0,
+            // Who comes for the first time may come back: as often as all do at the present rate.
+            None if now - self.born < self.span => {
+                let in_span = self.arrivals * self.span / (now - self.born).max(BEAT);
+                (in_span / callers.max(1.0)).min(1.0)
+            }
+            _ => 0.0,
+        };
+        self.reused.add(reused);
+    }
+
+    fn measured(&mut self, on_cores: f64, running: f64, cores: f64) {
+        self.overhead_sum += (on_cores - running).max(0.0) / on_cores.max(cores);
+        self.overhead_samples += 1.0;
+    }
+
+    /// The idle time from now on, where it changes.
+    fn sample(&mut self, now: f64, gauges: &Gauges, set: &Settings) -> Option<f64> {
+        if self.overhead_samples > 0.0 {
+            self.overhead.add(self.overhead_sum / self.overhead_samples);
+            (self.overhead_sum, self.overhead_samples) = (0.0, 0.0);
+        }
+        let busy = gauges.core_use.unwrap_or(1.0);
+        let open = gauges.connections.unwrap_or(0.0);
+        self.most = self.most.max(open);
+        self.crowded |= self.overhead.value > OVERHEAD;
+        let settled = now - self.born >= self.span;
+        let may_be_full = settled && open >= self.most * ROOM && open < set.callers * FEW;
+        let first_look = !settled && self.since == self.born && self.reused.samples >= ENOUGH;
+        if first_look || now - self.since >= self.span {
+            self.since = now;
+            self.keeps = self.reused.value >= REUSED * busy;
+            self.seen.retain(|_, last| now - *last < self.span);
         }
+        let wanted = if self.crowded && busy >= BUSY {
+            self.idle * KEEP_LONGER + BEAT
+        } else if self.crowded || (may_be_full && busy < BUSY) {
+            self.idle * CLOSE_SOONER
+        } else if self.keeps {
+            set.idle
+        } else {
+            BEAT
+        };
+        let idle = wanted.clamp(BEAT, set.idle.max(BEAT));
+        self.crowded &= idle > BEAT;
+        let changed = idle != self.idle;
+        self.idle = idle;
+        changed.then_some(idle)
     }
 }
 
