--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -22,6 +22,10 @@
     }
 }
 
+pub fn tenant(quota_per_s: f64) -> Tenant {
+    Tenant { quota_per_s }
+}
+
 /// Four cores, one class of each effect, a tier below, nothing told about waits.
 pub fn settings() -> Settings {
     Settings {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -277,7 +277,7 @@
     }
     let whole = set.classes[SAFE].give_up;
     set.classes.iter_mut().for_each(|class| class.give_up = 20.0);
-    set.tenants.push(Tenant { quota_per_s: 1.0 });
+    set.tenants.push(tenant(1.0));
     let terms = Terms { classes: set.classes.clone(), tenants: set.tenants.clone(), drain_grace: 1.0 };
     d.one(Event::Settled(Box::new(terms)));
     d.arrive(6, SAFE);
