--- a/src/choice.rs
+++ b/src/choice.rs
@@ -49,10 +49,10 @@
 const BELOW: f64 = 0.33;
 /// Callers are held to come back soon if they do within this multiple of the shortest aim.
 const KEEP_OPEN: f64 = 4.0;
-/// On full cores connections are kept while this part of the requests comes from callers that were here so recently.
+/// On full cores connections are kept while this part of the requests is of callers that were here so recently.
 const REUSED: f64 = 0.5;
-/// What is no run may take this part of the cores. A full table takes about a third of them, and what little is read
-/// beside it the rest: beyond this, keeping the table full leaves more for runs.
+/// What is no run may take this part of the cores. A full table takes about a third of them, and what is read
+/// beside it some more: beyond this, keeping the table full leaves more for runs.
 const OVERHEAD: f64 = 0.55;
 /// Then connections are kept longer while the cores are busier than this.
 const BUSY: f64 = 0.85;
@@ -356,7 +356,8 @@
             return;
         }
         if keyed || (self.set.fresh > 0.0 && class.effect == Effect::Safe) {
-            let span = if keyed { class.window - a.age } else { self.set.fresh };
+            // It outlives what it stands for: what is still held must not run beside a later try.
+            let span = if keyed { (class.window - a.age).max(due - self.now) } else { self.set.fresh };
             let span = span.max(0.0) + 2.0 * self.set.tick;
             self.table.add(a.id, self.now + span);
             out.push(Action::Remember { id: a.id, span });
@@ -575,9 +576,12 @@
 }
 
 impl Choice {
-    /// Rule 4. The crowd that this server survives just now, less the calls that may come back unasked.
-    fn crowd_room(&self) -> f64 {
-        (self.crowd() - self.calls.in_hand).max(1.0)
+    /// Rule 4. Whether one more run fits into the crowd that this server survives just now. All that waits
+    /// for a call or is at one may come back at once. A server without any run goes up to the bound itself.
+    fn crowd_has_room(&self) -> bool {
+        let may_come_back = self.calls.in_hand + (self.calls.queue.len() + self.calls.later.len()) as f64;
+        let most = if self.running < 1.0 { self.crowd() / CROWD_USED } else { self.crowd() };
+        self.running + may_come_back + 1.0 <= most.max(1.0)
     }
 
     fn crowd(&self) -> f64 {
@@ -600,14 +604,14 @@
         if self.starved() { self.limit.value } else { self.limit.value.max(self.set.cores) }
     }
 
+    fn may_start(&self) -> bool {
+        let counted = self.running + (self.calls.queue.len() + self.calls.later.len()) as f64;
+        counted < self.run_limit() && self.crowd_has_room()
+    }
+
     fn start_runs(&mut self, out: &mut Vec<Action>) {
         self.limit.value = self.limit.value.min(self.set.cores * self.set.crowd * CROWD_USED);
-        let limit = self.run_limit();
-        loop {
-            let counted = self.running + (self.calls.queue.len() + self.calls.later.len()) as f64;
-            if counted >= limit || self.running >= self.crowd_room() {
-                return;
-            }
+        while self.may_start() {
             let Some(id) = self.next_to_run() else { return };
             if self.hopeless(id, 0.0) {
                 self.give_up(id, true, out);
@@ -615,6 +619,10 @@
             }
             let need = self.requests.get(&id).map_or(0.0, |r| r.kb) * (self.set.run_memory - 1.0);
             if !self.make_room(need, Some(id), out) {
+                // It cannot be tried now either.
+                if self.past_hope(id, 0.0) {
+                    self.give_up(id, true, out);
+                }
                 return;
             }
             self.start(id, out);
@@ -661,12 +669,21 @@
     /// Whether a held request, begun after `wait`, can no longer be answered in time to earn.
     fn hopeless(&self, id: RequestId, wait: f64) -> bool {
         let Some(r) = self.requests.get(&id) else { return false };
-        // With cores to spare nothing is lost by trying, however long the estimate.
-        if wait == 0.0 && self.hold.len() <= 1 && self.gauges.on_cores.is_some_and(|n| n < self.set.cores) {
+        // With cores to spare nothing is lost by trying now, however long the estimate.
+        let idle = self.gauges.on_cores.is_some_and(|n| n < self.set.cores);
+        if wait == 0.0 && self.hold.len() <= 1 && idle && self.may_start() {
             return self.now >= r.aim_at;
         }
-        let need = r.run_time + self.learned[r.class].off.value;
-        self.now + wait + need >= r.aim_at
+        self.past_hope(id, wait)
+    }
+
+    fn past_hope(&self, id: RequestId, wait: f64) -> bool {
+        self.requests.get(&id).is_some_and(|r| self.now + wait + self.need(r) >= r.aim_at)
+    }
+
+    /// What its run is expected to take, calls included.
+    fn need(&self, r: &Request) -> f64 {
+        r.run_time + self.learned[r.class].off.value
     }
 
     /// Turns away from the low end of the hold what could not be reached in time at the present rate.
@@ -770,13 +787,16 @@
     fn new(set: &Settings, now: f64, period: f64) -> Calls {
         let whole = (set.call_share * CALLS_USED).floor();
         let extra = set.call_share - whole;
+        // At least what a call may linger, twice, and the rest as time passes: together the extra.
+        let most_credit = (extra * (1.0 - LENT)).max(2.0 * set.call_lingers / set.call_span.max(1.0));
+        let most_credit = most_credit.min(extra) * set.call_span;
         Calls {
             whole,
             part: RunLimit { value: 1.0, cut_at: now, period },
             best: f64::INFINITY,
-            credit: extra * (1.0 - LENT) * set.call_span,
-            most_credit: extra * (1.0 - LENT) * set.call_span,
-            gain: extra * LENT,
+            credit: most_credit,
+            most_credit,
+            gain: extra - most_credit / set.call_span.max(1.0),
             at: now,
             ..Calls::default()
         }
@@ -829,13 +849,19 @@
                 // One more is lent while it can last for a long call and still be paid back: a call that is
                 // abandoned half way lingers, and costs far more of the share than one that is finished.
                 let usual = PATIENCE * self.call_time.value + self.set.call_lingers;
-                let lent = self.calls.credit >= usual.min(self.calls.most_credit) && self.calls.gain > 0.0;
+                let enough = self.calls.credit >= usual.min(self.calls.most_credit);
+                let lent = enough && self.longest_loan() >= self.set.tick;
                 let whole = (self.calls.whole * self.calls.part.value).ceil();
                 if lent && whole >= self.calls.whole { whole + 1.0 } else { whole }
             }
         }
     }
 
+    /// How long a call on a lent permit may last: it may linger after that, and its end is heard of late.
+    fn longest_loan(&self) -> f64 {
+        self.calls.credit - self.set.call_lingers - 2.0 * self.set.tick
+    }
+
     fn issue_calls(&mut self, out: &mut Vec<Action>) {
         let permits = self.permits();
         while let Some(&key) = self.calls.queue.first() {
@@ -845,8 +871,7 @@
             self.calls.queue.remove(&key);
             let mut abandon_at = self.abandon_at(key.2);
             if self.set.below == Below::Shared && self.calls.all_in_hand() >= self.calls.whole {
-                let loan = (self.calls.credit - self.set.call_lingers).max(self.set.tick);
-                abandon_at = abandon_at.min(self.now + loan);
+                abandon_at = abandon_at.min(self.now + self.longest_loan());
             }
             let Some(request) = self.requests.get_mut(&key.2) else { continue };
             request.stage = Stage::Calling;
@@ -961,7 +986,10 @@
             } else if r.stage == Stage::Held && self.hopeless(id, 0.0) {
                 self.give_up(id, true, out);
             } else {
-                self.looks.insert((us(last_look), id));
+                // What calls are expected to take may have fallen since, and with it come closer to the aim.
+                let hopeless_at = (r.aim_at - self.need(r)).max(self.now + BEAT);
+                let next = if r.stage == Stage::Held { last_look.min(hopeless_at) } else { last_look };
+                self.looks.insert((us(next), id));
             }
         }
     }
@@ -979,15 +1007,24 @@
     /// else a full hold would keep the cores idle.
     fn make_room(&mut self, need: f64, keep: Option<RequestId>, out: &mut Vec<Action>) -> bool {
         while need > self.memory_room() - self.memory_used() {
-            match self.hold.last() {
-                Some(&(_, _, last)) if Some(last) != keep => self.give_up(last, false, out),
-                _ => return false,
+            let held = self.hold.last().map(|key| key.2).filter(|last| Some(*last) != keep);
+            match held.or_else(|| self.newest_reusing().filter(|_| need == 0.0)) {
+                Some(id) => self.give_up(id, false, out),
+                None => return false,
             }
         }
         true
     }
 }
 
+impl Choice {
+    /// The last read of those that wait for another's result: they take memory, and no run ends their stay.
+    fn newest_reusing(&self) -> Option<RequestId> {
+        let reusing = |(_, r): &(&RequestId, &Request)| r.stage == Stage::Reusing;
+        self.requests.iter().rev().find(reusing).map(|(id, _)| *id)
+    }
+}
+
 /// Entries that connect later tries to the one that ran here.
 #[derive(Default)]
 struct KeyTable {
@@ -1021,11 +1058,11 @@
     }
 }
 
-/// How long connections may stay idle. They are closed at once where callers seldom come back, which frees what a
-/// full table costs, and sooner while cores idle beside a table that may be full. Where turning away takes most of
-/// the cores, they are kept while the cores are busy: a full table turns newcomers away for nothing, where each one
-/// let in costs its connection, a read and a refusal. Guards against retries that live on what they cost. Could harm
-/// where newcomers are worth much more than those that have a connection.
+/// How long connections may stay idle. They are closed at once where callers seldom come back, which frees
+/// what a full table costs, and sooner while cores idle beside a table that may be full. Where turning away takes
+/// most of the cores, they are kept while the cores are busy: a full table turns newcomers away for nothing, and
+/// each one let in costs its connection, a read and a refusal. Guards against retries that live on what they
+/// cost. Could harm where newcomers are worth much more than those that have a connection.
 struct Connections {
     /// When each caller last came, for those that came within the span.
     seen: BTreeMap<u64, f64>,
@@ -1127,6 +1164,8 @@
     /// nothing more is begun: until then the others would miss this server's part.
     fn leave(&mut self, left: f64, out: &mut Vec<Action>) {
         let answer_by = self.now + left - self.margin() - self.set.answer_slack;
+        // What little time is left may end before the next beat.
+        self.next_beat = self.now;
         self.leaving = Some(Leaving { run_until: self.now + self.set.drain_grace, answer_by });
         out.push(Action::Health { good: false, stored: true });
         let ids: Vec<RequestId> = self.requests.keys().copied().collect();
