--- a/src/choice.rs
+++ b/src/choice.rs
@@ -49,7 +49,8 @@
 const BELOW: f64 = 0.33;
 /// Callers are held to come back soon if they do within this multiple of the shortest aim.
 const KEEP_OPEN: f64 = 4.0;
-/// On full cores connections are kept while this part of the requests is of callers that were here so recently.
+/// On full cores connections are kept while this part of the requests is of callers that were here so
+/// recently.
 const REUSED: f64 = 0.5;
 /// What is no run may take this part of the cores. A full table takes about a third of them, and what is read
 /// beside it some more: beyond this, keeping the table full leaves more for runs.
@@ -1059,10 +1060,10 @@
 }
 
 /// How long connections may stay idle. They are closed at once where callers seldom come back, which frees
-/// what a full table costs, and sooner while cores idle beside a table that may be full. Where turning away takes
-/// most of the cores, they are kept while the cores are busy: a full table turns newcomers away for nothing, and
-/// each one let in costs its connection, a read and a refusal. Guards against retries that live on what they
-/// cost. Could harm where newcomers are worth much more than those that have a connection.
+/// what a full table costs, and sooner while cores idle beside a table that may be full. Where turning away
+/// takes most of the cores, they are kept while the cores are busy: a full table turns newcomers away for
+/// nothing, and each one let in costs its connection, a read and a refusal. Guards against retries that live
+/// on what they cost. Could harm where newcomers are worth much more than those that have a connection.
 struct Connections {
     /// When each caller last came, for those that came within the span.
     seen: BTreeMap<u64, f64>,
