Lab: a fleet of real decision modules, callers and clients in simulated time

Need: a fleet that loses a part of itself for two seconds can stay in overload for good; sockets don't reach the sizes at which that shows, and nothing of the project's own played callers.

Change: crates/loomflow-lab, a discrete-event model with the module in every server, callers and clients with habits, faults and a checker of answers; scripts/measure callers [--quick] plays sizes x prices of a handshake x faults with baselines beside the module, and a steady tenant's quota.

--- /dev/null
+++ b/crates/loomflow-lab/src/clock.rs
@@ -0,0 +1,90 @@
+//! Simulated time and the queue of events to come.
+
+use std::cmp::{Ordering, Reverse};
+use std::collections::BinaryHeap;
+
+/// A moment or a span in simulated time, in microseconds.
+pub type Micros = u64;
+
+/// One simulated millisecond.
+pub const MILLISECOND: Micros = 1_000;
+/// One simulated second.
+pub const SECOND: Micros = 1_000_000;
+
+/// Converts to the milliseconds that the decision module counts in.
+pub fn to_millis(time: Micros) -> f64 {
+    time as f64 / MILLISECOND as f64
+}
+
+/// Converts from milliseconds, rounded up so that nothing fires early; negative spans count as none.
+pub fn from_millis(millis: f64) -> Micros {
+    (millis.max(0.0) * MILLISECOND as f64).ceil() as Micros
+}
+
+/// Events in the order of their time; those of the same moment in the order in which they were scheduled.
+pub struct EventQueue<E> {
+    heap: BinaryHeap<Reverse<Scheduled<E>>>,
+    scheduled: u64,
+    now: Micros,
+}
+
+struct Scheduled<E> {
+    at: Micros,
+    sequence: u64,
+    event: E,
+}
+
+impl<E> Scheduled<E> {
+    fn key(&self) -> (Micros, u64) {
+        (self.at, self.sequence)
+    }
+}
+
+impl<E> PartialEq for Scheduled<E> {
+    fn eq(&self, other: &Self) -> bool {
+        self.key() == other.key()
+    }
+}
+
+impl<E> Eq for Scheduled<E> {}
+
+impl<E> PartialOrd for Scheduled<E> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<E> Ord for Scheduled<E> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.key().cmp(&other.key())
+    }
+}
+
+impl<E> Default for EventQueue<E> {
+    fn default() -> Self {
+        EventQueue { heap: BinaryHeap::new(), scheduled: 0, now: 0 }
+    }
+}
+
+impl<E> EventQueue<E> {
+    /// The time of the event taken last.
+    pub fn now(&self) -> Micros {
+        self.now
+    }
+
+    /// Schedules an event; one in the past happens now.
+    pub fn schedule(&mut self, at: Micros, event: E) {
+        self.scheduled += 1;
+        self.heap.push(Reverse(Scheduled { at: at.max(self.now), sequence: self.scheduled, event }));
+    }
+
+    /// Moves the clock to the next event before `end` and gives it.
+    pub fn next_before(&mut self, end: Micros) -> Option<E> {
+        if self.heap.peek()?.0.at >= end {
+            return None;
+        }
+        let Reverse(next) = self.heap.pop()?;
+        self.now = next.at;
+        Some(next.event)
+    }
+}
--- /dev/null
+++ b/crates/loomflow-lab/src/fleet/machines.rs
@@ -0,0 +1,184 @@
+//! Machines: connections accepted and closed, and the servers' moments and answers.
+
+use crate::clock::SECOND;
+use crate::connections::{ConnectionId, ConnectionTable};
+use crate::cores::AttemptId;
+use crate::fleet::{Attempt, Due, Event, Fleet, Machine};
+use crate::ledger::Sample;
+use crate::server::{Incoming, Output, Server};
+use crate::settings::module_settings;
+
+impl Fleet {
+    /// Draws every machine's table and starts its server.
+    pub(super) fn place_machines(&mut self) {
+        let (smallest, largest) = self.setup.server.table;
+        for index in 0..self.setup.servers {
+            let table_bound = self.rng.usize(smallest..=largest);
+            let table = ConnectionTable::new(table_bound);
+            self.machines.push(Machine { server: None, table, table_bound, life: 0 });
+            self.start_server(index, false);
+        }
+    }
+
+    pub(super) fn start_server(&mut self, index: usize, cold: bool) {
+        let now = self.now();
+        let settings = module_settings(&self.setup, cold);
+        let machine = &mut self.machines[index];
+        machine.life += 1;
+        machine.table = ConnectionTable::new(machine.table_bound);
+        let seed = self.rng.u64(..);
+        machine.server = Some(Server::start(&self.setup.server, settings, seed, now));
+        // The first batch asks for the next; beats are spread, since machines start at different times.
+        let first = now + self.rng.u64(..SECOND / 20);
+        let wake = Event::Due { server: index, life: self.machines[index].life, due: Due::Wake };
+        self.events.schedule(first, wake);
+    }
+
+    /// An attempt arrives: on its connection, or it opens one where the table has room.
+    pub(super) fn reaches(&mut self, id: AttemptId) {
+        let now = self.now();
+        let Attempt { caller, server, connection, opens_connection, open, .. } = self.attempts[id as usize];
+        if !open {
+            return;
+        }
+        let refused = match connection {
+            Some(connection) => !self.connections.get(connection).open,
+            None => !self.accept(id, caller, server),
+        };
+        if refused {
+            return self.send(Event::NoConnection { attempt: id });
+        }
+        self.checker.reached(now, id);
+        let attempt = &self.attempts[id as usize];
+        let request = &self.requests[attempt.request];
+        let incoming = Incoming {
+            attempt: id,
+            caller,
+            new_connection: opens_connection,
+            retry: attempt.retry,
+            work: request.work,
+            estimate: request.estimate,
+        };
+        self.with_server(server, |machine, out| machine.reached(now, incoming, out));
+    }
+
+    /// Opens a connection for an attempt; false where the server is down or its table is full.
+    fn accept(&mut self, id: AttemptId, caller: usize, server: usize) -> bool {
+        let now = self.now();
+        let machine = &mut self.machines[server];
+        if machine.server.is_none() || !machine.table.accept() {
+            self.ledger.at(now).connections_refused += 1;
+            return false;
+        }
+        self.attempts[id as usize].connection = Some(self.connections.open(caller, server));
+        self.ledger.at(now).handshakes += 1;
+        true
+    }
+
+    /// Closes a connection at both ends.
+    pub(super) fn close(&mut self, id: ConnectionId) {
+        if self.connections.close(id) {
+            let (caller, server) = (self.connections.get(id).caller, self.connections.get(id).server);
+            self.machines[server].table.closed();
+            self.callers[caller].unpool(server, id);
+        }
+    }
+
+    /// The server of an attempt sees that its caller left.
+    pub(super) fn caller_gone(&mut self, id: AttemptId) {
+        let now = self.now();
+        self.checker.broke(id);
+        self.with_server(self.attempts[id as usize].server, |server, out| server.caller_gone(now, id, out));
+    }
+
+    pub(super) fn server_due(&mut self, index: usize, life: u32, due: Due) {
+        let now = self.now();
+        if self.machines[index].life != life {
+            return;
+        }
+        match due {
+            Due::Cores { version } => {
+                self.with_server(index, |server, out| server.cores_due(now, version, out))
+            }
+            Due::Batch => self.with_server(index, |server, out| server.batch_due(now, out)),
+            Due::Wake => {
+                self.close_idle(index);
+                let table = &self.machines[index].table;
+                let (fill, open) = (table.fill(), table.open());
+                self.with_server(index, |server, out| server.wake_due(now, fill, open, out));
+            }
+        }
+    }
+
+    /// Closes connections idle for longer than the server or its callers keep them.
+    fn close_idle(&mut self, index: usize) {
+        let now = self.now();
+        let machine = &mut self.machines[index];
+        let Some(server) = &machine.server else { return };
+        let limit = server.closes_idle_after().min(self.setup.habits.keeps_idle);
+        let mut idle = machine.table.overdue(now, limit, &self.connections);
+        if server.table_kept() < 1.0 {
+            idle.extend(machine.table.beyond(server.table_kept(), &self.connections));
+        }
+        idle.into_iter().for_each(|id| self.close(id));
+    }
+
+    /// Lets a server that is up take a step, and carries out what it wants.
+    fn with_server(&mut self, index: usize, step: impl FnOnce(&mut Server, &mut Vec<Output>)) {
+        let mut out = Vec::new();
+        if let Some(server) = &mut self.machines[index].server {
+            step(server, &mut out);
+        }
+        for output in out {
+            self.carry_out(index, output);
+        }
+    }
+
+    fn carry_out(&mut self, server: usize, output: Output) {
+        let life = self.machines[server].life;
+        let (at, due) = match output {
+            Output::Answer { attempt, answer, share } => {
+                self.answered(server, attempt);
+                return self.send(Event::AnswerReaches { attempt, answer, share });
+            }
+            Output::CoresAt(at, version) => (at, Due::Cores { version }),
+            Output::BatchAt(at) => (at, Due::Batch),
+            Output::WakeAt(at) => (at, Due::Wake),
+        };
+        self.events.schedule(at, Event::Due { server, life, due });
+    }
+
+    /// An answer leaves its server, whose connection is idle from then on.
+    fn answered(&mut self, server: usize, id: AttemptId) {
+        let now = self.now();
+        self.checker.answered(now, id);
+        let Some(connection) = self.attempts[id as usize].connection else { return };
+        if self.connections.get(connection).open {
+            self.connections.set_idle(connection, Some(now));
+            self.machines[server].table.idle(now, connection);
+        }
+    }
+
+    /// Notes the state of the servers.
+    pub(super) fn sample(&mut self) {
+        let now = self.now();
+        let at_once = self.setup.habits.keeps_idle.min(SECOND);
+        let mut sample = Sample::default();
+        for machine in &self.machines {
+            let Some(server) = &machine.server else { continue };
+            let load = server.load();
+            sample.servers += 1;
+            sample.share += load.share;
+            sample.limit += load.limit;
+            sample.unread += server.unread() as u64;
+            sample.fill += machine.table.fill();
+            sample.busy += server.busy();
+            sample.full += u64::from(machine.table.is_full());
+            sample.closing += u64::from(server.closes_idle_after() < at_once);
+        }
+        self.ledger.at(now).sample = sample;
+        if now + SECOND < self.setup.length {
+            self.events.schedule(now + SECOND, Event::Sample);
+        }
+    }
+}
--- a/crates/loomflow-measure/src/main.rs
+++ b/crates/loomflow-measure/src/main.rs
@@ -3,6 +3,7 @@
 
 mod against;
 mod amqp;
+mod callers;
 mod moments;
 mod order;
 mod overload;
@@ -17,6 +18,7 @@
 const USAGE: &str = "\
 usage: loomflow-measure NAME [--quick]
   amqp             the AMQP front: rules, cost, overload, a long queue
+  callers          a modelled fleet that loses a part of itself for two seconds: is it back within ten
   moments [PROGRAM]  the start, reports, connections that talk nonsense; of another build where one is named
   order [PART]     machines taken out for work: rounds under load and under faults, simulation, cost
                    (parts: work, faults, simulated, cost)
@@ -53,6 +55,7 @@
             ("moments", other) => {
                 Ok(moments::measure(quick, &other.map_or_else(process::program, Into::into)))
             }
+            ("callers", None) => Ok(callers::measure(quick)),
             ("amqp", None) => Ok(amqp::measure(quick)),
             ("against", Some(other)) => Ok(against::measure(quick, process::program(), &other)),
             ("against", None) => Err("against which program?".to_owned()),
