--- a/crates/loomflow-lab/src/recovery.rs
+++ b/crates/loomflow-lab/src/recovery.rs
@@ -18,7 +18,7 @@
 /// When the parts of the experiment begin and end, in whole seconds.
 #[derive(Clone, Copy, Debug)]
 pub struct Timeline {
-    /// The former service is taken from here to the loss.
+    /// The former service is taken from here to an aim before the loss.
     pub settled: usize,
     /// The part is lost.
     pub lost: usize,
@@ -73,11 +73,13 @@
 /// Plays the setup with that trouble on that timeline.
 pub fn recovery(mut setup: Setup, trouble: Trouble, timeline: Timeline) -> Recovery {
     setup.length = seconds(timeline.end);
+    // What is asked less than an aim before the loss may be struck by it.
+    let unharmed = timeline.lost - setup.clients.aim.div_ceil(SECOND) as usize;
     setup.faults = vec![Fault { trouble, from: seconds(timeline.lost), to: seconds(timeline.returned) }];
     let outcome = Fleet::new(setup).play();
     let ledger = outcome.ledger;
     let late = timeline.returned + WITHIN;
-    let before = ledger.service(timeline.settled, timeline.lost);
+    let before = ledger.service(timeline.settled, unharmed);
     Recovery {
         before,
         during: ledger.service(timeline.lost, timeline.returned),
