--- a/crates/loomflow-lab/src/recovery.rs
+++ b/crates/loomflow-lab/src/recovery.rs
@@ -85,7 +85,7 @@
         during: ledger.service(timeline.lost, timeline.returned),
         after: ledger.service(late, timeline.end),
         took: recovered_after(&ledger, before, timeline),
-        handshakes_before: handshakes(&ledger, timeline.settled, timeline.lost),
+        handshakes_before: handshakes(&ledger, timeline.settled, unharmed),
         handshakes_after: handshakes(&ledger, late, timeline.end),
         attempts_after: attempts(&ledger, late, timeline.end),
         violations: outcome.violations,
