A tenant's tokens: at least six a server, so that chance alone puts under one in twenty beyond

Cause (over_share): a server's bucket held quota over servers times ten seconds, or one token. The smaller a server's part, the more of a steady tenant's requests are beyond it by chance alone. A tenant at twice its quota is held to it within twelve of its requests at a server. Buckets of ten seconds that hold more are as they were.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -72,6 +72,8 @@
 const LEAST_CALLS: f64 = 0.4;
 /// Seconds of quota that a tenant may send at once and still be within its share.
 const QUOTA_BURST: f64 = 10.0;
+/// But so many requests at the least: with fewer, chance alone puts one in twenty of a tenant at 0.9 beyond it.
+const QUOTA_LEAST: f64 = 6.0;
 
 // ---- State ----
 
@@ -753,7 +755,7 @@
         if rate <= 0.0 || self.set.tier > 0 {
             return false;
         }
-        *left = (*left + rate * (self.now - *at) / 1000.0).min((rate * QUOTA_BURST).max(1.0));
+        *left = (*left + rate * (self.now - *at) / 1000.0).min((rate * QUOTA_BURST).max(QUOTA_LEAST));
         *at = self.now;
         let over = *left < 1.0;
         if !over {
