Cores that stand still turn away what they hold; estimates and key table in files of their own

Cause: run_ended learnt whatever stood still; trim and look_at_due go by the expected run as if cores moved; tell_share went on integrating. Ruled out: overload (hold of the others 1 to 3, unread wait 4 ms), connections (the same kept and closed), reading (in time).

Change: by what runs usually take and how far that varies, six ends are overdue: what is held and comes is refused at once with the longest pause, the share goes to its floor, the loop stands, and the stalled time is taken out of run times. The first end of a run is its end. Covers whatever stops work but not reading; could harm where all runs far outlast what their class has shown.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -3,7 +3,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::estimate::{Mean, RunTimes};
 use crate::interface::*;
+use crate::key_table::KeyTable;
 
 // ---- Constants. Shares and multiples of what a server is told or measures, never a site's figure. ----
 
@@ -70,9 +72,14 @@
 const SLOWER: f64 = 3.0;
 /// Then as little as this part of the told share is used; each call that is not slow gives back half as much.
 const LEAST_CALLS: f64 = 0.4;
+/// Fewer samples than this say nothing.
+const SEEN: u32 = 6;
+/// The cores stand still when, by what runs usually take, so many ought to have ended since the last one did.
+/// Were ends random at their usual rate, a gap as long would come once in e^6 = 400.
+const STALLED: f64 = 6.0;
 /// Seconds of quota that a tenant may send at once and still be within its share.
 const QUOTA_BURST: f64 = 10.0;
-/// But so many requests at the least: with fewer, chance alone puts one in twenty of a tenant at 0.9 beyond it.
+/// But so many requests at the least: with fewer, chance puts one in twenty of a tenant at 0.9 beyond it.
 const QUOTA_LEAST: f64 = 6.0;
 
 // ---- State ----
@@ -108,6 +115,9 @@
     /// When it left the cores for its call; time spent off them so far; calls issued.
     off_since: f64,
     off_time: f64,
+    /// When it last began to run or came back from a call, and `Choice::stalled_time` when it began.
+    on_since: f64,
+    stalled_before: f64,
     calls: u32,
     work: f64,
 }
@@ -115,48 +125,6 @@
 /// Order of the hold: most worth per unit of work first, then the nearest aim.
 type HoldKey = (i64, i64, RequestId);
 
-#[derive(Clone, Copy, Default)]
-struct Mean {
-    value: f64,
-    samples: u32,
-}
-
-impl Mean {
-    fn add(&mut self, sample: f64) {
-        self.samples = self.samples.saturating_add(1);
-        self.value += (sample - self.value) * LEARN.max(1.0 / f64::from(self.samples));
-    }
-}
-
-/// What the runs of a class have shown: their time against their estimate, and their time off the cores.
-#[derive(Clone, Copy, Default)]
-struct Learned {
-    run: Mean,
-    work: Mean,
-    work_squared: Mean,
-    run_by_work: Mean,
-    off: Mean,
-}
-
-impl Learned {
-    fn ran(&mut self, work: f64, run: f64, off: f64) {
-        self.run.add(run);
-        self.work.add(work);
-        self.work_squared.add(work * work);
-        self.run_by_work.add(run * work);
-        self.off.add(off);
-    }
-
-    /// The line through what was seen: where estimates are rough, a large one says less than it seems to.
-    fn run_time(&self, work: Option<f64>) -> f64 {
-        let (run, mean) = (self.run.value, self.work.value);
-        let spread = self.work_squared.value - mean * mean;
-        let Some(work) = work.filter(|_| spread > 0.0 && mean > 0.0) else { return run };
-        let slope = ((self.run_by_work.value - run * mean) / spread).clamp(0.0, run / mean);
-        run + slope * (work - mean)
-    }
-}
-
 pub struct Choice {
     set: Settings,
     now: f64,
@@ -173,7 +141,7 @@
     limit: RunLimit,
     calls: Calls,
     table: KeyTable,
-    learned: Vec<Learned>,
+    learned: Vec<RunTimes>,
     call_time: Mean,
     waited: Mean,
     refused_age: Mean,
@@ -184,6 +152,11 @@
     kb_running: f64,
     kb_largest: f64,
     leaving: Option<Leaving>,
+    /// When a run last ended or reached a call.
+    progress_at: f64,
+    stalled: bool,
+    /// How long the cores have stood still in all, ms: time that says nothing about runs.
+    stalled_time: f64,
     next_beat: f64,
 }
 
@@ -224,17 +197,27 @@
             limit: RunLimit { value: set.cores, cut_at: now, period },
             calls: Calls::new(&set, now, period),
             table: KeyTable::default(),
-            learned: vec![Learned::default(); set.classes.len()],
+            learned: vec![RunTimes::default(); set.classes.len()],
             call_time: Mean::default(),
             waited: Mean::default(),
             refused_age: Mean::default(),
             quotas: set.tenants.iter().map(|_| (f64::MAX, now)).collect(),
             gauges: Gauges::default(),
-            connections: Connections::new(&set, shortest * KEEP_OPEN, now),
+            connections: Connections {
+                span: shortest * KEEP_OPEN,
+                since: now,
+                born: now,
+                keeps: true,
+                idle: set.idle,
+                ..Connections::default()
+            },
             kb_held: 0.0,
             kb_running: 0.0,
             kb_largest: 0.0,
             leaving: None,
+            progress_at: now,
+            stalled: false,
+            stalled_time: 0.0,
             next_beat: f64::NEG_INFINITY,
             set,
         }
@@ -281,9 +264,10 @@
             self.next_beat = now + BEAT;
             out.push(Action::WakeAt(self.next_beat));
             self.look_at_due(out);
-            self.table.expire(now - self.set.tick);
+            self.table.expire(us(now - self.set.tick));
             self.tell_share(out);
         }
+        self.look_for_stall(out);
         self.trim(out);
         self.issue_calls(out);
         self.start_runs(out);
@@ -329,7 +313,7 @@
             aim_at: (reached + aim).min(due),
             over_share,
             retry: a.retry,
-            run_time: self.learned[a.class].run_time(a.work),
+            run_time: self.learned[a.class].expected(a.work),
             key: (0, 0, a.id),
             work: a.work.unwrap_or(0.0),
             ..Request::default()
@@ -362,7 +346,7 @@
             // It outlives what it stands for: what is still held must not run beside a later try.
             let span = if keyed { (class.window - a.age).max(due - self.now) } else { self.set.fresh };
             let span = span.max(0.0) + 2.0 * self.set.tick;
-            self.table.add(a.id, self.now + span);
+            self.table.add(a.id, us(self.now + span));
             out.push(Action::Remember { id: a.id, span });
         }
         self.requests.insert(a.id, request);
@@ -375,11 +359,11 @@
         request.answered = true;
         let waited = (now - request.reached) / self.set.classes[request.class].aim.max(self.set.tick);
         if self.set.tells_gone && !request.retry && waited >= 0.5 {
-            self.waited.add(waited.min(1.0));
+            self.waited.add(waited.min(1.0), LEARN);
         }
         match request.stage {
             Stage::Held => {
-                self.table.remove(id, out);
+                self.forget_key(id, out);
                 self.forget(id);
             }
             Stage::Reusing => {
@@ -394,10 +378,13 @@
     /// The part of an aim after which callers have been seen to leave: nobody hears an answer after that.
     /// Could harm where few callers are hasty and most are not.
     fn patience(&self) -> f64 {
-        if self.waited.samples < 6 { 1.0 } else { self.waited.value }
+        if self.waited.samples < SEEN { 1.0 } else { self.waited.value }
     }
 
     fn run_ended(&mut self, id: RequestId, outcome: Outcome, took: f64) {
+        if !matches!(outcome, Outcome::Moot) {
+            self.progress();
+        }
         let Some(request) = self.forget(id) else { return };
         if request.stage == Stage::Calling {
             // Answered meanwhile: its call is abandoned with it, and may linger below.
@@ -406,10 +393,15 @@
         if request.stage == Stage::Reusing || !matches!(outcome, Outcome::Ok | Outcome::Error) {
             return;
         }
-        let own = (took - request.off_time).max(0.0);
+        let stalled = self.stalled_time - request.stalled_before;
+        let own = (took - request.off_time - stalled).max(0.0);
         let learned = &mut self.learned[request.class];
         if outcome == Outcome::Ok {
-            learned.ran(request.work, own, request.off_time);
+            let expected = request.run_time.max(learned.run.value);
+            if expected > 0.0 {
+                learned.missed.add((own / expected).powi(2), LEARN);
+            }
+            learned.add(request.work, own, request.off_time, LEARN);
         }
         let aim = self.set.classes[request.class].aim;
         // Exception: a run that failed counts as held for its aim, so that quick failures do not read as
@@ -419,6 +411,13 @@
         self.limit.finished(self.now, own > aim, held, &self.gauges, self.set.cores);
     }
 
+    /// Frees the entry of a request that never ran.
+    fn forget_key(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        if self.table.remove(id) {
+            out.push(Action::Forget(id));
+        }
+    }
+
     /// Takes a request out of every account.
     fn forget(&mut self, id: RequestId) -> Option<Request> {
         let request = self.requests.remove(&id)?;
@@ -507,7 +506,11 @@
         }
         let held = self.hold.iter().filter_map(|k| self.requests.get(&k.2));
         let oldest = held.fold(0.0, |oldest: f64, r| oldest.max(self.now - r.reached));
-        self.share.sample(self.now, oldest);
+        // A stall is no overload: the loop stands where it was when the cores move again.
+        match self.stalled {
+            true => self.share.sampled_at = self.now,
+            false => self.share.sample(self.now, oldest),
+        }
         if let Some(idle) = self.connections.sample(self.now, &self.gauges, &self.set) {
             out.push(Action::CloseIdleAfter(idle));
         }
@@ -515,7 +518,8 @@
             self.limit.cut(self.now, self.set.cores / 3.0);
         }
         // A cold server asks for no more than its part of the speed, one that begins no more for nothing.
-        let value = self.share.value.min(self.speed_share()).max(SHARE_FLOOR);
+        let value = if self.stalled { 0.0 } else { self.share.value.min(self.speed_share()) };
+        let value = value.max(SHARE_FLOOR);
         let value = if self.leaving.is_some_and(|l| self.now >= l.run_until) { 0.0 } else { value };
         if (value - self.share.told).abs() >= 0.01 || (value == 1.0 && self.share.told != 1.0) {
             self.share.told = value;
@@ -595,6 +599,8 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.stage = Stage::Running;
         request.held_for = self.now - request.reached;
+        request.on_since = self.now;
+        request.stalled_before = self.stalled_time;
         self.kb_held -= request.kb;
         self.kb_running += request.kb;
         self.running += 1.0;
@@ -633,6 +639,50 @@
     }
 }
 
+// ---- Cores that stand still ----
+
+impl Choice {
+    /// Exception: cores that take work and finish none, while reading is not behind. What is held and what
+    /// comes is turned away at once, while its client has time for another server, and callers are asked to
+    /// stay away; the first run to end is the end of it. Covers whatever stops the work but not the reading;
+    /// could harm where all runs far outlast what their class has shown.
+    fn look_for_stall(&mut self, out: &mut Vec<Action>) {
+        let short = self.now - self.progress_at < self.share.setpoint * STARVED;
+        if self.running == 0.0 || short || self.starved() {
+            return;
+        }
+        // All on the cores share them alike, reading and new connections too.
+        let on_cores = self.gauges.on_cores.unwrap_or(0.0).max(self.running);
+        let runs = self.requests.values().filter(|r| r.stage == Stage::Running);
+        let ends: f64 = runs.map(|r| self.ends_since_progress(r)).sum();
+        if !self.stalled && ends * (self.set.cores / on_cores).min(1.0) < STALLED {
+            return;
+        }
+        self.stalled = true;
+        while let Some(&(_, _, last)) = self.hold.last() {
+            self.give_up(last, true, out);
+        }
+    }
+
+    /// How often a run like this one would have ended since the last one did, on a core of its own.
+    fn ends_since_progress(&self, request: &Request) -> f64 {
+        let seen = &self.learned[request.class];
+        let expected = request.run_time.max(seen.run.value) * seen.missed.value.max(1.0);
+        if seen.run.samples < SEEN || expected <= 0.0 {
+            return 0.0;
+        }
+        (self.now - self.progress_at.max(request.on_since)) / expected
+    }
+
+    /// A run has ended or reached its call: the cores move.
+    fn progress(&mut self) {
+        if std::mem::take(&mut self.stalled) {
+            self.stalled_time += self.now - self.progress_at;
+        }
+        self.progress_at = self.now;
+    }
+}
+
 // ---- The hold: order, hope and refusals ----
 
 impl Choice {
@@ -708,10 +758,10 @@
         match request.stage {
             Stage::Held => {
                 if !request.retry {
-                    self.refused_age.add(self.now - request.reached);
+                    self.refused_age.add(self.now - request.reached, LEARN);
                 }
                 out.push(self.refusal(id, last));
-                self.table.remove(id, out);
+                self.forget_key(id, out);
                 self.forget(id);
             }
             Stage::Reusing => {
@@ -741,7 +791,8 @@
         self.rng = self.rng.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         let spread = 0.75 + 0.5 * ((self.rng >> 40) as f64 / (1u64 << 24) as f64);
         let wait = (self.hold_work / self.limit.value).max(self.share.unread) * spread * ADVICE;
-        let pause = if self.leaving.is_some_and(|l| self.now >= l.run_until) { f64::INFINITY } else { wait };
+        let away = self.stalled || self.leaving.is_some_and(|l| self.now >= l.run_until);
+        let pause = if away { f64::INFINITY } else { wait };
         Action::Refuse { id, pause: pause.min(self.set.longest_pause), last }
     }
 
@@ -839,6 +890,7 @@
         request.calls = 0;
         self.running -= 1.0;
         self.calls.queue.insert(request.key);
+        self.progress();
     }
 
     /// How many calls may be in hand at once.
@@ -921,20 +973,21 @@
             self.calls.part.value = (self.calls.part.value + LEAST_CALLS / 2.0).min(1.0);
         }
         if outcome == Outcome::Ok {
-            self.call_time.add(took);
+            self.call_time.add(took, LEARN);
             if self.call_time.samples > 20 {
                 self.calls.best = self.calls.best.min(self.call_time.value);
             }
             request.stage = Stage::Running;
             request.off_time += now - request.off_since;
             self.running += 1.0;
+            request.on_since = now;
             return;
         }
         if matches!(outcome, Outcome::TimedOut | Outcome::Broken) {
             self.calls.lingering.push(now + self.set.call_lingers);
             // It would have taken longer: where only short calls end well, they alone would be learnt.
             if self.set.below == Below::Shared {
-                self.call_time.add(2.0 * took);
+                self.call_time.add(2.0 * took, LEARN);
             }
         }
         if request.answered {
@@ -962,6 +1015,7 @@
         request.stage = Stage::Running;
         request.off_time += now - request.off_since;
         self.running += 1.0;
+        request.on_since = now;
         out.push(Action::SkipCall(id));
         true
     }
@@ -998,7 +1052,7 @@
     }
 
     fn memory_used(&self) -> f64 {
-        self.kb_held + self.kb_running * self.set.run_memory + self.table.len() * self.set.entry_kb
+        self.kb_held + self.kb_running * self.set.run_memory + self.table.len() as f64 * self.set.entry_kb
     }
 
     /// Memory that may be filled: the rest is for what the next batch brings, one read a core.
@@ -1028,44 +1082,12 @@
     }
 }
 
-/// Entries that connect later tries to the one that ran here.
-#[derive(Default)]
-struct KeyTable {
-    until: BTreeMap<RequestId, i64>,
-    expiry: BTreeSet<(i64, RequestId)>,
-}
-
-impl KeyTable {
-    fn len(&self) -> f64 {
-        self.until.len() as f64
-    }
-
-    fn add(&mut self, id: RequestId, until: f64) {
-        self.until.insert(id, us(until));
-        self.expiry.insert((us(until), id));
-    }
-
-    /// Frees the entry of a request that never ran.
-    fn remove(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        if let Some(until) = self.until.remove(&id) {
-            self.expiry.remove(&(until, id));
-            out.push(Action::Forget(id));
-        }
-    }
-
-    fn expire(&mut self, now: f64) {
-        while let Some(&(until, id)) = self.expiry.first().filter(|(until, _)| *until < us(now)) {
-            self.expiry.remove(&(until, id));
-            self.until.remove(&id);
-        }
-    }
-}
-
 /// How long connections may stay idle. They are closed at once where callers seldom come back, which frees
 /// what a full table costs, and sooner while cores idle beside a table that may be full. Where turning away
 /// takes most of the cores, they are kept while the cores are busy: a full table turns newcomers away for
 /// nothing, and each one let in costs its connection, a read and a refusal. Guards against retries that live
 /// on what they cost. Could harm where newcomers are worth much more than those that have a connection.
+#[derive(Default)]
 struct Connections {
     /// When each caller last came, for those that came within the span.
     seen: BTreeMap<u64, f64>,
@@ -1078,8 +1100,8 @@
     keeps: bool,
     /// Part of what stands on the cores that is no run: reading, new connections, checks.
     overhead: Mean,
-    overhead_sum: f64,
-    overhead_samples: f64,
+    /// The same since the last sample.
+    overhead_lately: Mean,
     /// Turning away has taken most of the cores, and the cores have not been at leisure since.
     crowded: bool,
     idle: f64,
@@ -1088,24 +1110,6 @@
 }
 
 impl Connections {
-    fn new(set: &Settings, span: f64, now: f64) -> Connections {
-        Connections {
-            seen: BTreeMap::new(),
-            span,
-            since: now,
-            born: now,
-            arrivals: 0.0,
-            reused: Mean::default(),
-            keeps: true,
-            overhead: Mean::default(),
-            overhead_sum: 0.0,
-            overhead_samples: 0.0,
-            crowded: false,
-            idle: set.idle,
-            most: 0.0,
-        }
-    }
-
     fn used(&mut self, now: f64, caller: u64, callers: f64) {
         self.arrivals += 1.0;
         let reused = match self.seen.insert(caller, now) {
@@ -1117,19 +1121,17 @@
             }
             _ => 0.0,
         };
-        self.reused.add(reused);
+        self.reused.add(reused, LEARN);
     }
 
     fn measured(&mut self, on_cores: f64, running: f64, cores: f64) {
-        self.overhead_sum += (on_cores - running).max(0.0) / on_cores.max(cores);
-        self.overhead_samples += 1.0;
+        self.overhead_lately.add((on_cores - running).max(0.0) / on_cores.max(cores), 0.0);
     }
 
     /// The idle time from now on, where it changes.
     fn sample(&mut self, now: f64, gauges: &Gauges, set: &Settings) -> Option<f64> {
-        if self.overhead_samples > 0.0 {
-            self.overhead.add(self.overhead_sum / self.overhead_samples);
-            (self.overhead_sum, self.overhead_samples) = (0.0, 0.0);
+        if self.overhead_lately.samples > 0 {
+            self.overhead.add(std::mem::take(&mut self.overhead_lately).value, LEARN);
         }
         let busy = gauges.core_use.unwrap_or(1.0);
         let open = gauges.connections.unwrap_or(0.0);
@@ -1154,9 +1156,7 @@
         };
         let idle = wanted.clamp(BEAT, set.idle.max(BEAT));
         self.crowded &= idle > BEAT;
-        let changed = idle != self.idle;
-        self.idle = idle;
-        changed.then_some(idle)
+        (std::mem::replace(&mut self.idle, idle) != idle).then_some(idle)
     }
 }
 
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -292,3 +292,35 @@
     d.one(Event::Settled(Box::new(none)));
     d.arrive(7, SAFE);
 }
+
+#[test]
+fn a_server_whose_cores_stand_still_turns_away_what_it_holds_and_is_itself_again_afterwards() {
+    let mut d = Driver::new(settings());
+    d.gauges = Gauges { core_use: Some(1.0), on_cores: Some(4.0), ..IDLE };
+    load(&mut d, 1, 20, 20.0);
+    // Four run, as many as there are cores, three wait; then nothing ends, while requests are still read.
+    for id in 101..=107 {
+        d.arrive(id, SAFE);
+    }
+    let early = d.pass(400.0);
+    assert!(!early.iter().any(|a| matches!(a, Action::Refuse { .. })), "a gap that short is nothing unusual");
+    let late = d.pass(400.0);
+    for id in 105..=107 {
+        assert!(refused(&late, id), "{id} has half its aim left for another server");
+    }
+    let newcomer = d.arrive(108, SAFE);
+    let longest = settings().longest_pause;
+    let away = |a: &Action| matches!(a, Action::Refuse { id: 108, pause, .. } if *pause == longest);
+    assert!(newcomer.iter().any(away), "{newcomer:?}");
+    d.pass(5000.0);
+    assert_eq!(d.told(), 0.05);
+    // What ran through it says nothing of how long runs take: the next ones are not taken for hopeless.
+    for id in 101..=104 {
+        d.finish(id, 5800.0);
+    }
+    for id in 201..=204 {
+        assert_eq!(runs(&d.arrive(id, SAFE)), [id]);
+    }
+    d.pass(300.0);
+    assert_eq!(d.told(), 1.0, "a stall leaves nothing behind in the loop");
+}
