--- a/crates/loomflow-measure/src/callers.rs
+++ b/crates/loomflow-measure/src/callers.rs
@@ -15,7 +15,8 @@
 
 /// Servers and callers.
 const SIZES: [(usize, usize); 3] = [(20, 60), (80, 240), (250, 800)];
-/// A request costs so many handshakes; and the load, at most what a fleet without reuse of connections recovers at.
+/// A request costs so many handshakes; and the load, one at which a fleet recovers
+/// that keeps connections while its tables have room.
 const PRICES: [(f64, f64); 3] = [(60.0, 0.87), (10.0, 0.87), (3.0, 0.7)];
 /// What is lost, and how it is called in the table.
 const TROUBLES: [(&str, Trouble); 2] = [
