--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -166,7 +166,8 @@
 #[test]
 fn a_request_at_a_call_leaves_the_limit_and_one_waiting_for_a_call_does_not() {
     let mut s = settings();
-    (s.cores, s.crowd) = (1.0, 1.4);
+    // A permit for one call, none lent: it could linger past what the share leaves beyond it.
+    (s.cores, s.crowd, s.below, s.call_share, s.call_lingers) = (1.0, 8.0, Below::Shared, 1.2, 5000.0);
     let mut d = Driver::new(s);
     d.gauges = FULL;
     d.pass(60.0);
@@ -277,7 +278,7 @@
     }
     let whole = set.classes[SAFE].give_up;
     set.classes.iter_mut().for_each(|class| class.give_up = 20.0);
-    set.tenants.push(Tenant { quota_per_s: 1.0 });
+    set.tenants.push(tenant(1.0));
     let terms = Terms { classes: set.classes.clone(), tenants: set.tenants.clone(), drain_grace: 1.0 };
     d.one(Event::Settled(Box::new(terms)));
     d.arrive(6, SAFE);
