--- a/crates/loomflow-fleet/src/agreement/log.rs
+++ b/crates/loomflow-fleet/src/consensus/log.rs
@@ -5,17 +5,17 @@
 use raft::{GetEntriesContext, RaftState, Result, Storage, StorageError};
 
 /// Entries that stay in memory behind a snapshot, so that a voter that is a little late needs none.
-const TAIL: u64 = 256;
+const RETAINED_ENTRIES: u64 = 256;
 
-/// The library's own log in memory, but for snapshots: those it makes hold no state.
-pub struct Log {
+/// The library's own log in memory, except for snapshots: those that it creates hold no state.
+pub(super) struct Log {
     entries: MemStorage,
     snapshot: Snapshot,
 }
 
 impl Log {
     /// A log that begins behind a snapshot; an empty one where that is the default.
-    pub fn new(snapshot: Snapshot, hard: Option<HardState>, entries: &[Entry]) -> Result<Log> {
+    pub fn new(snapshot: Snapshot, hard_state: Option<HardState>, entries: &[Entry]) -> Result<Log> {
         let log = Log { entries: MemStorage::new(), snapshot: snapshot.clone() };
         {
             let mut core = log.entries.wl();
@@ -23,8 +23,8 @@
                 core.apply_snapshot(snapshot)?;
             }
             core.append(entries)?;
-            if let Some(hard) = hard {
-                core.set_hardstate(hard);
+            if let Some(hard_state) = hard_state {
+                core.set_hardstate(hard_state);
             }
         }
         Ok(log)
@@ -34,34 +34,34 @@
         self.entries.wl().append(entries)
     }
 
-    pub fn set_hard(&mut self, hard: HardState) {
-        self.entries.wl().set_hardstate(hard);
+    pub fn set_hard_state(&mut self, hard_state: HardState) {
+        self.entries.wl().set_hardstate(hard_state);
     }
 
     pub fn set_commit(&mut self, commit: u64) {
         self.entries.wl().mut_hard_state().commit = commit;
     }
 
-    pub fn set_conf(&mut self, conf: ConfState) {
-        self.entries.wl().set_conf_state(conf);
+    pub fn set_configuration(&mut self, configuration: ConfState) {
+        self.entries.wl().set_conf_state(configuration);
     }
 
-    pub fn conf(&self) -> ConfState {
+    pub fn configuration(&self) -> ConfState {
         self.entries.initial_state().map(|state| state.conf_state).unwrap_or_default()
     }
 
-    /// A snapshot that came from a leader.
-    pub fn take_over(&mut self, snapshot: Snapshot) -> Result<()> {
+    /// Replaces all by a snapshot that came from a leader.
+    pub fn restore_snapshot(&mut self, snapshot: Snapshot) -> Result<()> {
         self.entries.wl().apply_snapshot(snapshot.clone())?;
         self.snapshot = snapshot;
         Ok(())
     }
 
-    /// A snapshot of our own, of what is applied; what is far behind it leaves the memory.
-    pub fn keep(&mut self, snapshot: Snapshot) -> Result<()> {
+    /// Keeps a snapshot of our own, of what is applied; what is far behind it leaves the memory.
+    pub fn keep_snapshot(&mut self, snapshot: Snapshot) -> Result<()> {
         let index = snapshot.get_metadata().index;
         self.snapshot = snapshot;
-        self.entries.wl().compact(index.saturating_sub(TAIL))
+        self.entries.wl().compact(index.saturating_sub(RETAINED_ENTRIES))
     }
 
     pub fn snapshot_index(&self) -> u64 {
@@ -85,8 +85,8 @@
     }
 
     fn term(&self, index: u64) -> Result<u64> {
-        let meta = self.snapshot.get_metadata();
-        if index == meta.index && index > 0 { Ok(meta.term) } else { self.entries.term(index) }
+        let metadata = self.snapshot.get_metadata();
+        if index == metadata.index && index > 0 { Ok(metadata.term) } else { self.entries.term(index) }
     }
 
     fn first_index(&self) -> Result<u64> {
@@ -97,13 +97,13 @@
         self.entries.last_index()
     }
 
-    /// The last one kept. Not yet there where it is older than asked for, or where its configuration does not know the
-    /// one it is for, which would not take it.
+    /// The last snapshot. Not available where it is older than asked for, or where its configuration does not know the
+    /// replica that it is for, which would refuse it.
     fn snapshot(&self, request_index: u64, to: u64) -> Result<Snapshot> {
-        let meta = self.snapshot.get_metadata();
-        let conf = meta.get_conf_state();
-        let mut seats = conf.get_voters().iter().chain(conf.get_learners());
-        if meta.index < request_index || !seats.any(|id| *id == to) {
+        let metadata = self.snapshot.get_metadata();
+        let configuration = metadata.get_conf_state();
+        let mut replicas = configuration.get_voters().iter().chain(configuration.get_learners());
+        if metadata.index < request_index || !replicas.any(|id| *id == to) {
             return Err(raft::Error::Store(StorageError::SnapshotTemporarilyUnavailable));
         }
         Ok(self.snapshot.clone())
--- /dev/null
+++ b/crates/loomflow-fleet/src/consensus/ready.rs
@@ -0,0 +1,168 @@
+//! Carries out what the Raft library wants done: write, send, apply, in that order.
+
+use raft::eraftpb::{ConfChangeV2, Entry, EntryType, Message, MessageType};
+use raft::{Ready, SnapshotStatus};
+
+use super::storage::WriteBatch;
+use super::{Consensus, ConsensusError, ELECTION_TICKS, StateMachine, decode, encode};
+use crate::member::ServerName;
+
+/// A snapshot is written after so many entries: what a restart reads again at the most.
+const SNAPSHOT_EVERY_ENTRIES: u64 = 512;
+
+impl<M: StateMachine> Consensus<M> {
+    /// Carries out what the library wants done, until it wants nothing.
+    pub(super) fn process_ready(&mut self) {
+        while self.raft_node.as_ref().is_some_and(|node| node.has_ready()) {
+            if let Err(error) = self.process_one_ready() {
+                return self.stop_on_error(error);
+            }
+        }
+        self.set_election_timeout();
+        if let Some(node) = &self.raft_node
+            && self.applied_index >= node.store().snapshot_index() + SNAPSHOT_EVERY_ENTRIES
+        {
+            self.store_snapshot();
+        }
+    }
+
+    /// The library draws its election time-outs from the thread's generator; here they follow from the replica, the term and
+    /// the role, so that a simulation is the same every time.
+    fn set_election_timeout(&mut self) {
+        let Some(node) = &mut self.raft_node else { return };
+        let raft = &mut node.raft;
+        let hash = [raft.id, raft.term, raft.state as u64]
+            .iter()
+            .fold(self.seed, |sum, part| (sum ^ part).wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(29));
+        let extra_ticks = (hash % ELECTION_TICKS as u64) as usize;
+        raft.set_randomized_election_timeout(ELECTION_TICKS + extra_ticks);
+    }
+
+    fn process_one_ready(&mut self) -> Result<(), ConsensusError> {
+        let Some(node) = &mut self.raft_node else { return Ok(()) };
+        let mut ready = node.ready();
+        let messages = ready.take_messages();
+        let batch = write_batch(&ready)?;
+        if !batch.is_empty() {
+            self.storage.write(&batch)?;
+        }
+        self.update_log(&ready)?;
+        let messages_after_write = ready.take_persisted_messages();
+        let committed = ready.take_committed_entries();
+        self.queue_messages(messages);
+        self.queue_messages(messages_after_write);
+        self.apply(committed)?;
+        let Some(node) = &mut self.raft_node else { return Ok(()) };
+        let mut light_ready = node.advance(ready);
+        if let Some(commit) = light_ready.commit_index() {
+            node.mut_store().set_commit(commit);
+        }
+        self.queue_messages(light_ready.take_messages());
+        self.apply(light_ready.take_committed_entries())?;
+        if let Some(node) = &mut self.raft_node {
+            node.advance_apply();
+        }
+        Ok(())
+    }
+
+    /// Brings the log in memory to what was written.
+    fn update_log(&mut self, ready: &Ready) -> Result<(), ConsensusError> {
+        let Some(node) = &mut self.raft_node else { return Ok(()) };
+        let snapshot = ready.snapshot();
+        let snapshot_index = snapshot.get_metadata().index;
+        if snapshot_index > 0 {
+            node.mut_store().restore_snapshot(snapshot.clone())?;
+            self.load_snapshot(snapshot)?;
+            self.applied_index = snapshot_index;
+        }
+        let Some(node) = &mut self.raft_node else { return Ok(()) };
+        let log = node.mut_store();
+        log.append(ready.entries())?;
+        if let Some(hard_state) = ready.hs() {
+            log.set_hard_state(hard_state.clone());
+        }
+        Ok(())
+    }
+
+    fn queue_messages(&mut self, messages: Vec<Message>) {
+        for message in messages {
+            let to = self.replicas.get(&message.to).or_else(|| self.unconfirmed_replicas.get(&message.to));
+            if let (Some(to), Ok(bytes)) = (to, encode(&message)) {
+                self.outgoing.push((to.clone(), bytes));
+            } else if message.get_msg_type() == MessageType::MsgSnapshot
+                && let Some(node) = &mut self.raft_node
+            {
+                node.report_snapshot(message.to, SnapshotStatus::Failure);
+            }
+        }
+    }
+
+    fn apply(&mut self, entries: Vec<Entry>) -> Result<(), ConsensusError> {
+        for entry in entries {
+            self.applied_index = entry.index;
+            match entry.get_entry_type() {
+                // A new leader's first entry is empty.
+                EntryType::EntryNormal if entry.data.is_empty() => {}
+                EntryType::EntryNormal => self.outputs.extend(self.machine.apply(&entry.data)),
+                EntryType::EntryConfChange => return Err(ConsensusError::UnsupportedConfigurationChange),
+                EntryType::EntryConfChangeV2 => {
+                    let change: ConfChangeV2 = decode(&entry.data)?;
+                    self.apply_configuration_change(&change, &entry.context)?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Applies a change of configuration; a snapshot follows at once, as whoever joined needs one that knows it. `context`
+    /// names the replica that the change admits.
+    fn apply_configuration_change(
+        &mut self,
+        change: &ConfChangeV2,
+        context: &[u8],
+    ) -> Result<(), ConsensusError> {
+        let Some(node) = &mut self.raft_node else { return Ok(()) };
+        let configuration = node.apply_conf_change(change)?;
+        node.mut_store().set_configuration(configuration.clone());
+        if let Ok((id, name)) = postcard::from_bytes::<(u64, ServerName)>(context) {
+            self.replicas.insert(id, name);
+        }
+        let parts = [
+            &configuration.voters,
+            &configuration.learners,
+            &configuration.voters_outgoing,
+            &configuration.learners_next,
+        ];
+        self.replicas.retain(|id, _| parts.iter().any(|part| part.contains(id)));
+        self.update_machine_voters();
+        self.store_snapshot();
+        Ok(())
+    }
+
+    /// Tells the state machine who has a vote.
+    pub(super) fn update_machine_voters(&mut self) {
+        let mut voters = self.voters();
+        // The library keeps them in no order, and the state must be the same everywhere.
+        voters.sort();
+        if !voters.is_empty() {
+            self.machine.set_voters(voters);
+        }
+    }
+}
+
+/// What has to be durable before anything else of this is done.
+fn write_batch(ready: &Ready) -> Result<WriteBatch, ConsensusError> {
+    let mut batch = WriteBatch::default();
+    let snapshot_index = ready.snapshot().get_metadata().index;
+    if snapshot_index > 0 {
+        batch.snapshot = Some((snapshot_index, encode(ready.snapshot())?));
+        batch.clears_log = true;
+    }
+    for entry in ready.entries() {
+        batch.entries.push((entry.index, encode(entry)?));
+    }
+    if let Some(hard_state) = ready.hs() {
+        batch.hard_state = Some(encode(hard_state)?);
+    }
+    Ok(batch)
+}
--- /dev/null
+++ b/crates/loomflow-fleet/src/duty/client_session.rs
@@ -0,0 +1,198 @@
+//! What a member knows of its own session and of the duties that it owns. It goes by its own boot-time clock alone, counted
+//! from before it asked: an answer that comes late is worth what is left of it, and after a long sleep nothing is left.
+
+use std::collections::BTreeMap;
+
+use super::{DutyName, Grant, LeaseSettings, Ownership, SessionId, Token};
+use crate::member::{Millis, RequestId};
+
+/// A session is renewed so many times within its length.
+const RENEWALS_PER_LEASE: u64 = 4;
+/// Shortest time between two renewals, ms.
+const MIN_RENEWAL_GAP_MILLIS: Millis = 20;
+
+/// A change in what a server owns.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum OwnershipChange {
+    /// The server owns a duty.
+    Acquired(Grant),
+    /// The server is to finish or checkpoint it, and release it.
+    ReleaseRequested(DutyName, Token),
+    /// The server no longer owns it: nothing more may be done for it.
+    Lost(DutyName, Token),
+}
+
+/// The session of one server, as the server itself knows it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct ClientSession {
+    session: SessionId,
+    lease_settings: LeaseSettings,
+    /// The session is valid until then.
+    valid_until: Millis,
+    grants: BTreeMap<DutyName, Grant>,
+    /// What this session released: no grant up to this token is for it again.
+    released: BTreeMap<DutyName, Token>,
+    /// The renewal that has no answer yet, and when it was sent first.
+    pending_renewal: Option<(RequestId, Millis)>,
+    next_renewal_at: Millis,
+    changes: Vec<OwnershipChange>,
+}
+
+impl ClientSession {
+    /// The token by which the server owns a duty at this moment. Nobody else owns it, as far as clocks keep to
+    /// [`super::MAX_CLOCK_DRIFT`].
+    pub fn owned_token(&self, duty: &str, now: Millis) -> Option<Token> {
+        if now >= self.valid_until {
+            return None;
+        }
+        self.grants.get(duty).map(|grant| grant.token)
+    }
+
+    /// All grants of the session, valid or not.
+    pub fn grants(&self) -> impl Iterator<Item = &Grant> {
+        self.grants.values()
+    }
+
+    /// The grant of one duty.
+    pub fn grant(&self, duty: &str) -> Option<&Grant> {
+        self.grants.get(duty)
+    }
+
+    /// Until when the server owns what it owns, on its own clock.
+    pub fn valid_until(&self) -> Millis {
+        self.valid_until
+    }
+
+    /// The number of the session; 0 before there was one.
+    pub fn session(&self) -> SessionId {
+        self.session
+    }
+
+    /// When something is due next.
+    pub fn next_wake(&self) -> Millis {
+        if self.grants.is_empty() { self.next_renewal_at } else { self.next_renewal_at.min(self.valid_until) }
+    }
+
+    /// Whether the session is to be renewed now.
+    pub fn is_renewal_due(&self, now: Millis) -> bool {
+        now >= self.next_renewal_at
+    }
+
+    /// A renewal is sent. Returns the one before, if it was not answered.
+    pub fn renewal_sent(&mut self, id: RequestId, now: Millis) -> Option<RequestId> {
+        let period = self.lease_settings.lease_millis / RENEWALS_PER_LEASE;
+        self.next_renewal_at = now + period.max(MIN_RENEWAL_GAP_MILLIS);
+        self.pending_renewal.replace((id, now)).map(|(before, _)| before)
+    }
+
+    /// Whether this request is the renewal that has no answer yet.
+    pub fn is_pending_renewal(&self, id: RequestId) -> bool {
+        self.pending_renewal.is_some_and(|(pending, _)| pending == id)
+    }
+
+    /// The answer to a renewal that was first sent at `sent_at`.
+    pub fn renewed(&mut self, ownership: Ownership, sent_at: Millis, now: Millis) {
+        self.pending_renewal = None;
+        self.expire(now);
+        let valid_until = sent_at + ownership.lease_settings.holder_duration();
+        if ownership.session < self.session || valid_until <= now {
+            return;
+        }
+        if ownership.session > self.session {
+            // Another session: whatever the one before owned is lost.
+            self.lose_all();
+            self.released.clear();
+            self.session = ownership.session;
+            self.valid_until = 0;
+        }
+        self.lease_settings = ownership.lease_settings;
+        self.valid_until = self.valid_until.max(valid_until);
+        // A grant that is missing here stays: only the end of the session, or a release, takes it away.
+        self.accept(ownership.grants);
+    }
+
+    /// Received without a renewal: counts for the current session, and does not extend it.
+    pub fn notified(&mut self, ownership: Ownership, now: Millis) {
+        self.expire(now);
+        if ownership.session == self.session && now < self.valid_until {
+            self.accept(ownership.grants);
+        } else if ownership.session > self.session {
+            self.next_renewal_at = self.next_renewal_at.min(now + MIN_RENEWAL_GAP_MILLIS);
+        }
+    }
+
+    /// The server releases a duty; returns the token to say so with.
+    pub fn release(&mut self, duty: &str) -> Option<Token> {
+        let grant = self.grants.remove(duty)?;
+        let last = self.released.entry(duty.to_owned()).or_default();
+        *last = grant.token.max(*last);
+        Some(grant.token)
+    }
+
+    /// The server shuts down: all that it owns is to be released.
+    pub fn recall_all(&mut self) {
+        for grant in self.grants.values_mut().filter(|grant| !grant.is_recalled) {
+            grant.is_recalled = true;
+            self.changes.push(OwnershipChange::ReleaseRequested(grant.duty.clone(), grant.token));
+        }
+    }
+
+    /// The server ends the session: it is given nothing more.
+    pub fn end(&mut self) {
+        self.lose_all();
+        self.valid_until = 0;
+        self.next_renewal_at = Millis::MAX;
+        self.pending_renewal = None;
+    }
+
+    /// Takes away what is owned, where the session has expired.
+    pub fn expire(&mut self, now: Millis) {
+        if now >= self.valid_until {
+            self.lose_all();
+        }
+    }
+
+    /// Changes since this was last called, in their order.
+    pub fn take_changes(&mut self) -> Vec<OwnershipChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    fn accept(&mut self, grants: Vec<Grant>) {
+        for grant in grants {
+            let released = self.released.get(&grant.duty).copied().unwrap_or(0);
+            if grant.token <= released {
+                continue;
+            }
+            match self.grants.get_mut(&grant.duty) {
+                Some(known) if known.token > grant.token => {}
+                Some(known) if known.token == grant.token => {
+                    if grant.is_recalled && !known.is_recalled {
+                        let change = OwnershipChange::ReleaseRequested(grant.duty.clone(), grant.token);
+                        self.changes.push(change);
+                    }
+                    // An older message does not undo a recall.
+                    let is_recalled = grant.is_recalled || known.is_recalled;
+                    *known = Grant { is_recalled, ..grant };
+                }
+                _ => self.acquire(grant),
+            }
+        }
+    }
+
+    fn acquire(&mut self, grant: Grant) {
+        self.changes.push(OwnershipChange::Acquired(grant.clone()));
+        if grant.is_recalled {
+            self.changes.push(OwnershipChange::ReleaseRequested(grant.duty.clone(), grant.token));
+        }
+        self.grants.insert(grant.duty.clone(), grant);
+    }
+
+    fn lose_all(&mut self) {
+        let lost = std::mem::take(&mut self.grants);
+        let change = |grant: Grant| OwnershipChange::Lost(grant.duty, grant.token);
+        self.changes.extend(lost.into_values().map(change));
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/loomflow-fleet/src/duty/client_session/tests.rs
@@ -0,0 +1,87 @@
+use super::*;
+
+fn grant(duty: &str, token: Token) -> Grant {
+    Grant {
+        duty: duty.into(),
+        token,
+        is_recalled: false,
+        checkpoint: Vec::new(),
+        last_run: 0,
+        has_unfinished_run: false,
+        is_run_requested: false,
+        schedule: None,
+    }
+}
+
+fn ownership(session: SessionId, held: &[(&str, Token)]) -> Ownership {
+    let grants = held.iter().map(|(duty, token)| grant(duty, *token)).collect();
+    Ownership { session, lease_settings: LeaseSettings { lease_millis: 1_000, max_attempts: 3 }, grants }
+}
+
+#[test]
+fn the_deadline_counts_from_before_it_was_asked_less_the_drift() {
+    let mut session = ClientSession::default();
+    session.renewal_sent(1, 100);
+    session.renewed(ownership(1, &[("d", 1)]), 100, 900);
+    assert_eq!((session.owned_token("d", 1_089), session.owned_token("d", 1_090)), (Some(1), None));
+    session.expire(1_090);
+    assert!(session.take_changes().contains(&OwnershipChange::Lost("d".into(), 1)));
+}
+
+#[test]
+fn an_answer_later_than_the_lease_is_worth_nothing() {
+    let mut session = ClientSession::default();
+    session.renewed(ownership(1, &[("d", 1)]), 100, 1_200);
+    assert_eq!((session.owned_token("d", 1_200), session.take_changes()), (None, vec![]));
+}
+
+#[test]
+fn a_grant_that_is_heard_again_after_the_release_is_not_taken_up() {
+    let mut session = ClientSession::default();
+    session.renewed(ownership(1, &[("d", 4)]), 0, 1);
+    assert_eq!(session.release("d"), Some(4));
+    session.notified(ownership(1, &[("d", 4)]), 2);
+    session.renewed(ownership(1, &[("d", 4), ("e", 2)]), 0, 3);
+    assert_eq!((session.owned_token("d", 4), session.owned_token("e", 4)), (None, Some(2)));
+    // Given anew, under another token, it is.
+    session.notified(ownership(1, &[("d", 5)]), 5);
+    assert_eq!(session.owned_token("d", 6), Some(5));
+}
+
+#[test]
+fn words_of_another_session_neither_give_nor_keep() {
+    let mut session = ClientSession::default();
+    session.renewed(ownership(2, &[("d", 7)]), 0, 1);
+    session.notified(ownership(1, &[("e", 3)]), 2);
+    session.renewed(ownership(1, &[("e", 3)]), 1_500, 1_501);
+    assert_eq!((session.owned_token("e", 3), session.valid_until()), (None, 990));
+    // A later session ends what the former owned, whatever it still had left.
+    session.renewed(ownership(3, &[]), 3, 4);
+    assert_eq!(session.owned_token("d", 5), None);
+    assert!(session.take_changes().contains(&OwnershipChange::Lost("d".into(), 7)));
+}
+
+#[test]
+fn what_is_told_without_asking_makes_nothing_longer() {
+    let mut session = ClientSession::default();
+    session.renewed(ownership(1, &[]), 0, 1);
+    session.notified(ownership(1, &[("d", 1)]), 900);
+    assert_eq!((session.owned_token("d", 989), session.owned_token("d", 990)), (Some(1), None));
+}
+
+#[test]
+fn a_recall_is_told_once_and_not_unsaid_by_an_older_word() {
+    let mut session = ClientSession::default();
+    session.renewed(ownership(1, &[("d", 1)]), 0, 1);
+    let mut recalled = ownership(1, &[("d", 1)]);
+    recalled.grants[0].is_recalled = true;
+    session.notified(recalled.clone(), 2);
+    session.notified(recalled, 3);
+    session.notified(ownership(1, &[("d", 1)]), 4);
+    let requests = session
+        .take_changes()
+        .into_iter()
+        .filter(|c| matches!(c, OwnershipChange::ReleaseRequested(..)))
+        .count();
+    assert_eq!((requests, session.grant("d").map(|g| g.is_recalled)), (1, Some(true)));
+}
--- a/crates/loomflow-fleet/src/duty/mod.rs
+++ b/crates/loomflow-fleet/src/duty/mod.rs
@@ -1,87 +1,96 @@
-//! Duties: work on behalf of the fleet that exactly one server does at a time, and that an old owner cannot spoil.
+//! Duties: work on behalf of the fleet that exactly one server does at a time, and that a former owner cannot disturb.
 //!
-//! - [`state`]: the machine applied from the log: sessions, leases, what owners have written down, what is parked.
-//! - [`tenure`]: what one member knows of its own session and the duties that it owns, by its own clock.
-//! - [`fence`]: what stands at every receiver, and refuses what comes from an owner that is no longer one.
-//! - [`assign`]: who should own what. Only the leader asks; what it decides goes into the log.
-//! - [`job`]: the operators' jobs: when a run begins, and when its process has to end.
-//! - [`schedule`]: when a duty with a schedule is due, and what a missed time means.
+//! - [`state`]: the state machine applied from the log: sessions, leases, what owners have written, what is parked.
+//! - [`client_session`]: what one member knows of its own session and the duties that it owns, by its own clock.
+//! - [`fence`]: the receiver's check, which refuses what comes from a former owner.
+//! - [`assign`]: who should own what. Only the leader asks; its decisions go into the log.
+//! - [`job`]: the operators' jobs: when a run begins, and what is written about it.
+//! - [`supervisor`]: when the process of a run has to end.
+//! - [`schedule`]: when a duty with a schedule is due, and what happens to missed runs.
 //! - [`summary`]: the duty that sums the fleet up.
 //!
-//! Time keeps two owners apart while clocks behave, and only to spare them work in vain: what keeps the fleet's effects
-//! whole is the token and the receiver's fence.
+//! Time keeps two owners apart while clocks behave, and only to spare them useless work: what protects the fleet's effects is
+//! the fencing token and the receiver's fence.
 
 pub mod assign;
+pub mod client_session;
 pub mod fence;
 pub mod job;
 pub mod schedule;
 pub mod state;
 pub mod summary;
-pub mod tenure;
+pub mod supervisor;
 
 use serde::{Deserialize, Serialize};
 
-use crate::member::{FleetMs, Incarnation, LONGEST_NAME, Name};
+use crate::member::{FleetMillis, Incarnation, MAX_NAME_BYTES, Millis, ServerName};
 
 /// The name of a duty: 1 to 64 bytes.
 pub type DutyName = String;
-/// Rises with every owner of any duty, over leaders, restarts and snapshots.
+/// A fencing token. Rises with every owner of any duty, across leaders, restarts and snapshots.
 pub type Token = u64;
 /// Rises with every session of any server.
 pub type SessionId = u64;
+/// Numbers a run: the Unix time at which it was due, s.
+pub type RunId = u64;
 
-/// Duties that there may be.
-pub const MOST_DUTIES: usize = 2_048;
-/// What an owner may write down for the next one, bytes.
-pub const LONGEST_CHECKPOINT: usize = 1_024;
-/// A reason is kept as far as this, bytes.
-pub const LONGEST_REASON: usize = 256;
-/// The rates of two machines' boot-time clocks differ by at most this part. Beyond it two may believe that they own a duty;
+/// Most duties.
+pub const MAX_DUTIES: usize = 2_048;
+/// What an owner may write for the next one, bytes.
+pub const MAX_CHECKPOINT_BYTES: usize = 1_024;
+/// A longer reason is truncated, bytes.
+pub const MAX_REASON_BYTES: usize = 256;
+/// The rates of two machines' boot-time clocks differ by at most this fraction. Beyond it two may believe that they own a duty;
 /// the fence then still lets only the later one through.
-pub const DRIFT: f64 = 0.01;
+pub const MAX_CLOCK_DRIFT: f64 = 0.01;
 
-/// One start of a server, as an owner.
+/// One start of a server, as an owner of duties.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Holder {
-    pub name: Name,
+pub struct ServerInstance {
+    /// The server.
+    pub name: ServerName,
+    /// Which start of it.
     pub incarnation: Incarnation,
 }
 
-/// What the operators set for all duties.
+/// The operators' settings for all duties.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Terms {
-    /// How long a session lasts without a word of its server, ms.
-    pub lease: u64,
+pub struct LeaseSettings {
+    /// How long a session lasts without a renewal, ms.
+    #[serde(rename = "lease")]
+    pub lease_millis: Millis,
     /// A duty that was lost or failed so often in a row, with nothing done between, is parked.
-    pub attempts: u32,
+    #[serde(rename = "attempts")]
+    pub max_attempts: u32,
 }
 
-impl Default for Terms {
-    fn default() -> Terms {
-        Terms { lease: 10_000, attempts: 5 }
+impl Default for LeaseSettings {
+    fn default() -> LeaseSettings {
+        LeaseSettings { lease_millis: 10_000, max_attempts: 5 }
     }
 }
 
-impl Terms {
-    /// How long the holder counts on its session, from before it asked, ms: less the bound on drift.
-    pub fn holder_counts(&self) -> u64 {
-        (self.lease as f64 * (1.0 - DRIFT)) as u64
+impl LeaseSettings {
+    /// How long the owner relies on its session, from before it asked, ms: the lease less the bound on drift.
+    pub fn holder_duration(&self) -> Millis {
+        (self.lease_millis as f64 * (1.0 - MAX_CLOCK_DRIFT)) as Millis
     }
 
-    /// How long the others wait, from when the session was written down, ms: plus that bound.
-    pub fn others_wait(&self) -> u64 {
-        (self.lease as f64 * (1.0 + DRIFT)).ceil() as u64
+    /// How long the others wait, from when the session was committed, ms: the lease plus that bound.
+    pub fn waiting_duration(&self) -> Millis {
+        (self.lease_millis as f64 * (1.0 + MAX_CLOCK_DRIFT)).ceil() as Millis
     }
 
     /// An owner that was lost before it held a duty for so long may have been brought down by it, ms.
-    pub fn settled(&self) -> u64 {
-        3 * self.lease
+    pub fn settling_duration(&self) -> Millis {
+        3 * self.lease_millis
     }
 }
 
-/// A duty that there is, by the operators' settings or from the start.
+/// A duty as it is declared, by the operators' settings or built in.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Declared {
+pub struct DutySpec {
+    /// Its name.
     pub name: DutyName,
     /// How heavy it is beside others; 1 is usual.
     pub weight: u32,
@@ -89,197 +98,276 @@
     pub schedule: Option<schedule::Schedule>,
 }
 
-impl Declared {
-    /// One without a schedule, as heavy as usual.
-    pub fn plain(name: &str) -> Declared {
-        Declared { name: name.to_owned(), weight: 1, schedule: None }
+impl DutySpec {
+    /// A duty without a schedule, as heavy as usual.
+    pub fn plain(name: &str) -> DutySpec {
+        DutySpec { name: name.to_owned(), weight: 1, schedule: None }
     }
 }
 
-/// What an owner writes down, with its token: the fleet's record is a receiver like any other.
+/// What an owner writes into the fleet's state, with its token: the state is fenced like any other receiver.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Note {
+pub enum OwnerUpdate {
     /// For the next owner.
     Checkpoint(Vec<u8>),
-    /// A run of the time with that number begins. No number begins twice, but for another try of one that did not end.
-    Began(u64),
-    Done(u64),
-    Failed(u64, String),
+    /// A run begins. No run begins twice, except to retry one that did not end.
+    Began(RunId),
+    /// The run succeeded.
+    Done(RunId),
+    /// The run failed; with the reason.
+    Failed(RunId, String),
 }
 
-/// One entry of the log on duties.
+/// A log entry on duties.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Command {
     /// By the leader, from its settings: all duties there are.
-    Declare(Terms, Vec<Declared>),
-    /// Servers that were heard from. All that a server owns is kept by the one word.
-    KeepAlive(Vec<Holder>),
-    /// A server goes, and has nothing left to do.
-    End(Holder),
-    /// By the leader: who gets what is free.
-    Assign(Vec<(DutyName, Name)>),
-    /// By the leader: its owner is to hand it over.
+    Declare(LeaseSettings, Vec<DutySpec>),
+    /// Servers that renewed their sessions. One renewal keeps all that a server owns.
+    KeepAlive(Vec<ServerInstance>),
+    /// A server shuts down, and owns nothing that it has to finish.
+    End(ServerInstance),
+    /// By the leader: owners for free duties.
+    Assign(Vec<(DutyName, ServerName)>),
+    /// By the leader or an operator: its owner is to release it.
     Recall(DutyName),
-    /// Its owner lets go of it. `to`: who gets it at once, filled in by the leader.
+    /// By its owner: it is free again.
     Release {
+        /// The duty.
         duty: DutyName,
+        /// The owner's fencing token.
         token: Token,
-        to: Option<Name>,
+        /// Who gets it at once, filled in by the leader.
+        #[serde(rename = "to")]
+        successor: Option<ServerName>,
     },
+    /// By its owner: something to keep.
     Write {
+        /// The duty.
         duty: DutyName,
+        /// The owner's fencing token.
         token: Token,
-        note: Note,
+        /// What to keep.
+        #[serde(rename = "note")]
+        update: OwnerUpdate,
     },
-    /// By an operator: nobody is to own it until it is resumed.
+    /// By an operator: nobody is to own it until it is resumed; with the reason.
     Park(DutyName, String),
+    /// By an operator: it may be owned again.
     Resume(DutyName),
-    /// By an operator: its owner is to run it once, now. The number is the request's: said again it is the same run.
+    /// By an operator: its owner is to run it once, now. The number identifies the request: sent again it is the same run.
     Run(DutyName, u64),
 }
 
+/// The response to a [`Command`], or to a request for all duties.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Answer {
+pub enum Response {
+    /// Done.
     Done,
-    Kept(Kept),
+    /// To [`Command::KeepAlive`]: what the server owns.
+    #[serde(rename = "Kept")]
+    Ownership(Ownership),
+    /// Not done, and nothing has changed.
     Refused(Refusal),
-    List(Box<Listed>),
+    /// All duties.
+    List(Box<DutyList>),
 }
 
-/// What a server owns, as the record has it.
+/// A server's session and the duties that it owns.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Kept {
+pub struct Ownership {
+    /// The session; 0 where there is none.
     pub session: SessionId,
-    pub terms: Terms,
-    pub held: Vec<Grant>,
+    /// The lease settings in force.
+    #[serde(rename = "terms")]
+    pub lease_settings: LeaseSettings,
+    /// What is owned.
+    #[serde(rename = "held")]
+    pub grants: Vec<Grant>,
 }
 
 /// One duty of an owner.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Grant {
+    /// The duty.
     pub duty: DutyName,
+    /// The owner's fencing token.
     pub token: Token,
-    /// It is to hand it over.
-    pub recalled: bool,
-    /// What the last owner wrote down.
+    /// The owner is to release it.
+    #[serde(rename = "recalled")]
+    pub is_recalled: bool,
+    /// What the last owner wrote.
     pub checkpoint: Vec<u8>,
-    /// The number of the last run that began, whether that has not ended, and whether an operator wants one.
-    pub last_run: u64,
-    pub unended: bool,
-    pub wanted: bool,
+    /// The last run that began; 0 before any did.
+    pub last_run: RunId,
+    /// Whether that run has not ended.
+    #[serde(rename = "unended")]
+    pub has_unfinished_run: bool,
+    /// An operator requested a run that has not begun.
+    #[serde(rename = "wanted")]
+    pub is_run_requested: bool,
+    /// When it is to be run.
     pub schedule: Option<schedule::Schedule>,
 }
 
-/// Why something on a duty is not done. It changes nothing then.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// Why a command on a duty is not done. It changes nothing then.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
 pub enum Refusal {
+    /// No duty has this name.
+    #[error("no duty is called {0:?}")]
     Unknown(DutyName),
-    /// From an owner that is none: its token, and the one that counts.
+    /// From a server that does not own the duty.
+    #[error("{duty}: token {token} is of an old owner, {current} counts")]
     Stale {
+        /// The duty.
         duty: DutyName,
+        /// The token that the command carries.
         token: Token,
-        counts: Token,
+        /// The highest token of the duty.
+        #[serde(rename = "counts")]
+        current: Token,
     },
-    /// An earlier start of this server may still own something; ms until that is over.
-    FormerSelf(u64),
-    /// This number has begun already, or is over.
+    /// An earlier start of this server may still own something; for so long, ms.
+    #[error("an earlier start of this server may own something for {0} ms more")]
+    #[serde(rename = "FormerSelf")]
+    EarlierIncarnation(Millis),
+    /// This run has begun already, or is over.
+    #[error("{duty}: run {run} has begun already")]
     Begun {
+        /// The duty.
         duty: DutyName,
-        run: u64,
+        /// The last run that began.
+        run: RunId,
     },
-    /// What was said makes no sense, in words.
-    Bad(String),
+    /// The command makes no sense, in words.
+    #[error("{0}")]
+    #[serde(rename = "Bad")]
+    Invalid(String),
 }
 
 /// A duty with all that is known of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Row {
+pub struct DutyStatus {
+    /// The duty.
     pub duty: DutyName,
-    pub owner: Option<Holder>,
-    /// The highest token that was ever given for it.
+    /// Its owner.
+    pub owner: Option<ServerInstance>,
+    /// The highest token ever given for it.
     pub token: Token,
-    /// Since when it is owned, or is not.
-    pub since: FleetMs,
-    pub recalled: bool,
+    /// Since when it is owned, or free.
+    pub since: FleetMillis,
+    /// Its owner is to release it.
+    #[serde(rename = "recalled")]
+    pub is_recalled: bool,
+    /// Why nobody is to own it; none where somebody may.
     pub parked: Option<String>,
-    /// Owners lost or runs failed in a row, with the last reason.
-    pub strikes: Vec<String>,
-    pub last_run: u64,
-    pub unended: bool,
-    pub wanted: bool,
-    /// Writes to the record that were refused for a token that does not count.
-    pub refused: u64,
+    /// Owners lost or runs failed in a row, with their reasons.
+    #[serde(rename = "strikes")]
+    pub recent_failures: Vec<String>,
+    /// The last run that began; 0 before any did.
+    pub last_run: RunId,
+    /// Whether that run has not ended.
+    #[serde(rename = "unended")]
+    pub has_unfinished_run: bool,
+    /// An operator requested a run that has not begun.
+    #[serde(rename = "wanted")]
+    pub is_run_requested: bool,
+    /// Writes that were refused for a stale token.
+    #[serde(rename = "refused")]
+    pub refused_writes: u64,
 }
 
+/// All duties and their history.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Listed {
-    pub duties: Vec<Row>,
+pub struct DutyList {
+    /// All duties, by name.
+    pub duties: Vec<DutyStatus>,
     /// Servers with a session.
-    pub sessions: Vec<Name>,
-    pub terms: Terms,
-    pub time: FleetMs,
-    pub events: Vec<Happened>,
+    pub sessions: Vec<ServerName>,
+    /// The lease settings in force.
+    #[serde(rename = "terms")]
+    pub lease_settings: LeaseSettings,
+    /// The fleet's time.
+    pub time: FleetMillis,
+    /// The last events, the oldest first.
+    pub events: Vec<DutyEvent>,
 }
 
+/// What happened to a duty.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum What {
+pub enum DutyEventKind {
+    /// It has an owner.
     Taken,
+    /// Its owner released it.
     Released,
-    /// Its owner's session was over.
+    /// Its owner's session expired.
     Lost,
+    /// A run began.
     Began,
+    /// A run succeeded.
     Done,
+    /// A run failed.
     Failed,
+    /// Nobody is to own it.
     Parked,
+    /// It may be owned again.
     Resumed,
-    /// A write with a token that does not count.
+    /// A write with a stale token.
     Refused,
 }
 
-impl What {
-    pub fn word(self) -> &'static str {
+impl DutyEventKind {
+    /// The word that operators see.
+    pub fn as_str(self) -> &'static str {
         match self {
-            What::Taken => "taken",
-            What::Released => "released",
-            What::Lost => "lost",
-            What::Began => "began",
-            What::Done => "done",
-            What::Failed => "failed",
-            What::Parked => "parked",
-            What::Resumed => "resumed",
-            What::Refused => "refused",
+            DutyEventKind::Taken => "taken",
+            DutyEventKind::Released => "released",
+            DutyEventKind::Lost => "lost",
+            DutyEventKind::Began => "began",
+            DutyEventKind::Done => "done",
+            DutyEventKind::Failed => "failed",
+            DutyEventKind::Parked => "parked",
+            DutyEventKind::Resumed => "resumed",
+            DutyEventKind::Refused => "refused",
         }
     }
 }
 
-/// Who owned what when.
+/// One event in the history of a duty.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Happened {
-    pub at: FleetMs,
+pub struct DutyEvent {
+    /// When.
+    pub at: FleetMillis,
+    /// Which duty.
     pub duty: DutyName,
+    /// The highest token at that time.
     pub token: Token,
     /// Its owner; empty where there was none.
-    pub owner: Name,
-    pub what: What,
-    /// A reason, or the token that was refused.
+    pub owner: ServerName,
+    /// What happened.
+    #[serde(rename = "what")]
+    pub kind: DutyEventKind,
+    /// A reason, a run, or the token that was refused.
     pub detail: String,
 }
 
-/// Errors: what is wrong with a duty's name.
+/// Checks a duty's name.
+///
+/// # Errors
+/// What is wrong with it.
 pub fn check_name(name: &str) -> Result<(), Refusal> {
-    let fits = (1..=LONGEST_NAME).contains(&name.len()) && !name.contains(char::is_control);
-    if fits {
+    if (1..=MAX_NAME_BYTES).contains(&name.len()) && !name.contains(char::is_control) {
         Ok(())
     } else {
-        Err(Refusal::Bad("a duty's name has 1 to 64 bytes, none of them a control".into()))
+        Err(Refusal::Invalid("a duty's name has 1 to 64 bytes, none of them a control".into()))
     }
 }
 
-/// A reason, as far as it is kept.
-pub fn cut(why: &str) -> String {
-    let mut end = why.len().min(LONGEST_REASON);
-    while !why.is_char_boundary(end) {
+/// A reason, as far as it is kept: [`MAX_REASON_BYTES`].
+pub fn truncate_reason(reason: &str) -> String {
+    let mut end = reason.len().min(MAX_REASON_BYTES);
+    while !reason.is_char_boundary(end) {
         end -= 1;
     }
-    why[..end].to_owned()
+    reason[..end].to_owned()
 }
--- /dev/null
+++ b/crates/loomflow-fleet/src/duty/state/apply.rs
@@ -0,0 +1,311 @@
+//! How commands and the passing of time change sessions and duties.
+
+use super::{Duties, Duty, Lease, MAX_EVENTS, MAX_RUN_REQUESTS, PersistentState, Session};
+use crate::duty::{
+    Command, DutyEvent, DutyEventKind, DutyName, DutySpec, LeaseSettings, MAX_CHECKPOINT_BYTES, MAX_DUTIES,
+    OwnerUpdate, Refusal, Response, RunId, ServerInstance, Token, check_name, truncate_reason,
+};
+use crate::member::{FleetMillis, ServerName};
+use crate::membership::MAX_MEMBERS;
+
+impl Duties {
+    /// Moves the fleet's time on: sessions whose end has come expire, in the order of their ends.
+    pub fn advance_time(&mut self, time: FleetMillis) {
+        self.state.time = self.state.time.max(time);
+        while let Some((at, server)) =
+            self.expirations.first().cloned().filter(|(at, _)| *at <= self.state.time)
+        {
+            self.expirations.remove(&(at, server.clone()));
+            self.state.sessions.remove(&server);
+            self.lose_all(&server);
+        }
+    }
+
+    /// Applies one command, at the time that was last set.
+    pub fn apply(&mut self, command: &Command) -> Response {
+        self.execute(command).map_or_else(Response::Refused, |()| Response::Done)
+    }
+
+    fn execute(&mut self, command: &Command) -> Result<(), Refusal> {
+        match command {
+            Command::Declare(lease_settings, specs) => return self.declare(*lease_settings, specs),
+            Command::KeepAlive(instances) => instances.iter().for_each(|one| self.renew_session(one)),
+            Command::End(instance) => self.end_session(instance),
+            Command::Assign(owners) => owners.iter().for_each(|(duty, owner)| self.assign(duty, owner)),
+            Command::Recall(duty) => self.duty_mut(duty)?.recall(),
+            Command::Release { duty, token, successor } => {
+                return self.release(duty, *token, successor.as_ref());
+            }
+            Command::Write { duty, token, update } => return self.write(duty, *token, update),
+            Command::Park(duty, reason) => return self.park(duty, reason),
+            Command::Resume(duty) => return self.resume(duty),
+            Command::Run(duty, request) => self.duty_mut(duty)?.request_run(*request),
+        }
+        Ok(())
+    }
+
+    fn declare(&mut self, lease_settings: LeaseSettings, specs: &[DutySpec]) -> Result<(), Refusal> {
+        if specs.len() > MAX_DUTIES {
+            return Err(Refusal::Invalid(format!("at most {MAX_DUTIES} duties")));
+        }
+        specs.iter().try_for_each(|spec| check_name(&spec.name))?;
+        self.state.lease_settings = Some(lease_settings);
+        let is_declared = |name: &str| specs.iter().any(|spec| spec.name == name);
+        self.state.duties.retain(|name, duty| duty.lease.is_some() || is_declared(name));
+        // One that is owned and no longer declared goes when its owner has released it.
+        for (name, duty) in &mut self.state.duties {
+            if !is_declared(name) {
+                duty.recall();
+            }
+        }
+        let now = self.state.time;
+        for spec in specs {
+            let known = self.state.duties.entry(spec.name.clone());
+            known.and_modify(|duty| duty.spec = spec.clone()).or_insert_with(|| Duty::new(spec.clone(), now));
+        }
+        Ok(())
+    }
+
+    /// Renews a server's session, or opens one. What an earlier start of it owns is not touched: that one may still be running
+    /// somewhere, until its own session expires.
+    fn renew_session(&mut self, instance: &ServerInstance) {
+        let expires_at = self.state.time + self.lease_settings().waiting_duration();
+        let is_full = self.state.sessions.len() >= MAX_MEMBERS;
+        match self.state.sessions.get_mut(&instance.name) {
+            Some(session) if session.incarnation == instance.incarnation => {
+                self.expirations.remove(&(session.expires_at, instance.name.clone()));
+                session.expires_at = session.expires_at.max(expires_at);
+                self.expirations.insert((session.expires_at, instance.name.clone()));
+            }
+            Some(_) => {}
+            None if is_full => {}
+            None => {
+                self.state.last_session += 1;
+                let (id, incarnation) = (self.state.last_session, instance.incarnation);
+                self.expirations.insert((expires_at, instance.name.clone()));
+                self.state.sessions.insert(instance.name.clone(), Session { id, incarnation, expires_at });
+            }
+        }
+    }
+
+    fn end_session(&mut self, instance: &ServerInstance) {
+        let session = self.state.sessions.get(&instance.name);
+        if session.is_none_or(|session| session.incarnation != instance.incarnation) {
+            return;
+        }
+        if let Some(session) = self.state.sessions.remove(&instance.name) {
+            self.expirations.remove(&(session.expires_at, instance.name.clone()));
+        }
+        for duty in self.names_owned_by(&instance.name) {
+            self.free(&duty, DutyEventKind::Released);
+        }
+    }
+
+    fn names_owned_by(&self, server: &str) -> Vec<DutyName> {
+        self.duties_by_owner.get(server).into_iter().flatten().cloned().collect()
+    }
+
+    /// Assigns a free duty to a server with a session; nothing where it is not free, or there is none.
+    fn assign(&mut self, name: &DutyName, owner: &ServerName) {
+        let PersistentState { duties, sessions, last_token, time, quiet_until, .. } = &mut self.state;
+        let Some(duty) = duties.get_mut(name) else { return };
+        if !duty.is_free() || *time < *quiet_until || !sessions.contains_key(owner) {
+            return;
+        }
+        *last_token += 1;
+        let token = *last_token;
+        duty.token = token;
+        duty.lease = Some(Lease { owner: owner.clone(), token, since: *time, is_recalled: false });
+        self.duties_by_owner.entry(owner.clone()).or_default().insert(name.clone());
+        self.record_event(name, DutyEventKind::Taken, String::new());
+    }
+
+    fn release(
+        &mut self,
+        duty: &DutyName,
+        token: Token,
+        successor: Option<&ServerName>,
+    ) -> Result<(), Refusal> {
+        self.check_token(duty, token)?;
+        self.free(duty, DutyEventKind::Released);
+        if let Some(successor) = successor {
+            self.assign(duty, successor);
+        }
+        Ok(())
+    }
+
+    fn write(&mut self, name: &DutyName, token: Token, update: &OwnerUpdate) -> Result<(), Refusal> {
+        self.check_token(name, token)?;
+        match update {
+            OwnerUpdate::Checkpoint(bytes) if bytes.len() > MAX_CHECKPOINT_BYTES => {
+                Err(Refusal::Invalid(format!("a checkpoint has at most {MAX_CHECKPOINT_BYTES} bytes")))
+            }
+            OwnerUpdate::Checkpoint(bytes) => {
+                self.duty_mut(name)?.checkpoint = bytes.clone();
+                Ok(())
+            }
+            OwnerUpdate::Began(run) => self.begin_run(name, token, *run),
+            OwnerUpdate::Done(run) => self.finish_run(name, token, *run),
+            OwnerUpdate::Failed(run, reason) => self.fail_run(name, token, *run, reason),
+        }
+    }
+
+    fn begin_run(&mut self, name: &DutyName, token: Token, run: RunId) -> Result<(), Refusal> {
+        let duty = self.duty_mut(name)?;
+        // Written twice by the same owner it has begun once; of another owner's that did not end it is a retry.
+        let is_retry = run == duty.last_run && duty.unfinished_run.is_some();
+        if run < duty.last_run || (run == duty.last_run && !is_retry) {
+            return Err(Refusal::Begun { duty: name.clone(), run: duty.last_run });
+        }
+        let is_repeated = is_retry && duty.unfinished_run == Some(token);
+        duty.last_run = run;
+        duty.unfinished_run = Some(token);
+        duty.is_run_requested = false;
+        if !is_repeated {
+            self.record_event(name, DutyEventKind::Began, run.to_string());
+        }
+        Ok(())
+    }
+
+    /// The duty, if this run is the one that its owner has begun.
+    fn duty_of_run(&mut self, name: &DutyName, token: Token, run: RunId) -> Result<&mut Duty, Refusal> {
+        let duty = self.duty_mut(name)?;
+        if run != duty.last_run || duty.unfinished_run != Some(token) {
+            return Err(Refusal::Begun { duty: name.clone(), run: duty.last_run });
+        }
+        Ok(duty)
+    }
+
+    fn finish_run(&mut self, name: &DutyName, token: Token, run: RunId) -> Result<(), Refusal> {
+        let duty = self.duty_of_run(name, token, run)?;
+        duty.unfinished_run = None;
+        duty.recent_failures.clear();
+        self.record_event(name, DutyEventKind::Done, run.to_string());
+        Ok(())
+    }
+
+    fn fail_run(&mut self, name: &DutyName, token: Token, run: RunId, reason: &str) -> Result<(), Refusal> {
+        let max_attempts = self.lease_settings().max_attempts as usize;
+        let reason = truncate_reason(reason);
+        let duty = self.duty_of_run(name, token, run)?;
+        duty.recent_failures.push(reason.clone());
+        // Retried by whoever owns it, until there were as many attempts as there may be.
+        let is_last_attempt = duty.recent_failures.len() >= max_attempts;
+        if is_last_attempt {
+            duty.unfinished_run = None;
+        }
+        self.record_event(name, DutyEventKind::Failed, format!("{run}: {reason}"));
+        if is_last_attempt { self.park(name, &reason) } else { Ok(()) }
+    }
+
+    fn park(&mut self, name: &DutyName, reason: &str) -> Result<(), Refusal> {
+        let duty = self.duty_mut(name)?;
+        // Its owner releases it first: it is working until it says that it is not.
+        duty.recall();
+        if duty.parked.is_none() {
+            let reason = truncate_reason(reason);
+            duty.parked = Some(reason.clone());
+            self.record_event(name, DutyEventKind::Parked, reason);
+        }
+        Ok(())
+    }
+
+    fn resume(&mut self, name: &DutyName) -> Result<(), Refusal> {
+        let duty = self.duty_mut(name)?;
+        duty.recent_failures.clear();
+        if duty.parked.take().is_some() {
+            self.record_event(name, DutyEventKind::Resumed, String::new());
+        }
+        Ok(())
+    }
+
+    fn duty_mut(&mut self, name: &str) -> Result<&mut Duty, Refusal> {
+        self.state.duties.get_mut(name).ok_or_else(|| Refusal::Unknown(name.to_owned()))
+    }
+
+    /// The fence of the fleet's own state: only the token of the current lease passes. Each refusal is counted and recorded.
+    ///
+    /// # Errors
+    /// The duty is unknown, or the token is not of its current lease.
+    pub fn check_token(&mut self, name: &str, token: Token) -> Result<(), Refusal> {
+        let duty = self.duty_mut(name)?;
+        if duty.lease.as_ref().is_some_and(|lease| lease.token == token) {
+            return Ok(());
+        }
+        duty.refused_writes += 1;
+        let refusal = Refusal::Stale { duty: name.to_owned(), token, current: duty.token };
+        self.record_event(name, DutyEventKind::Refused, format!("token {token}"));
+        Err(refusal)
+    }
+
+    /// A server's session expired: it owns nothing any more.
+    fn lose_all(&mut self, server: &ServerName) {
+        let settings = self.lease_settings();
+        let now = self.state.time;
+        for name in self.names_owned_by(server) {
+            let Ok(duty) = self.duty_mut(&name) else { continue };
+            let since = duty.lease.as_ref().map_or(now, |lease| lease.since);
+            if now.saturating_sub(since) >= settings.settling_duration() {
+                duty.recent_failures.clear();
+            } else {
+                duty.recent_failures.push(format!("{server} was lost while it owned it"));
+            }
+            let is_poison = duty.recent_failures.len() >= settings.max_attempts as usize;
+            let reason = duty.recent_failures.last().cloned().filter(|_| is_poison);
+            self.free(&name, DutyEventKind::Lost);
+            if let Some(reason) = reason {
+                let _ = self.park(&name, &reason);
+            }
+        }
+    }
+
+    /// Takes a duty from its owner.
+    fn free(&mut self, name: &DutyName, kind: DutyEventKind) {
+        self.record_event(name, kind, String::new());
+        let now = self.state.time;
+        let Some(duty) = self.state.duties.get_mut(name) else { return };
+        duty.free_since = now;
+        if let Some(lease) = duty.lease.take()
+            && let Some(owned) = self.duties_by_owner.get_mut(&lease.owner)
+        {
+            owned.remove(name);
+            if owned.is_empty() {
+                self.duties_by_owner.remove(&lease.owner);
+            }
+        }
+    }
+
+    fn record_event(&mut self, name: &str, kind: DutyEventKind, detail: String) {
+        let duty = self.state.duties.get(name);
+        let owner = duty.and_then(|duty| Some(duty.lease.as_ref()?.owner.clone()));
+        self.state.events.push_back(DutyEvent {
+            at: self.state.time,
+            duty: name.to_owned(),
+            token: duty.map_or(0, |duty| duty.token),
+            owner: owner.unwrap_or_default(),
+            kind,
+            detail,
+        });
+        if self.state.events.len() > MAX_EVENTS {
+            self.state.events.pop_front();
+        }
+    }
+}
+
+impl Duty {
+    /// Asks the owner, if there is one, to release it.
+    fn recall(&mut self) {
+        if let Some(lease) = &mut self.lease {
+            lease.is_recalled = true;
+        }
+    }
+
+    /// Notes an operator's request for a run; one that was noted before has no further effect.
+    fn request_run(&mut self, request: u64) {
+        if !self.run_requests.contains(&request) {
+            self.is_run_requested = true;
+            self.run_requests.push_front(request);
+            self.run_requests.truncate(MAX_RUN_REQUESTS);
+        }
+    }
+}
--- /dev/null
+++ b/crates/loomflow-fleet/src/duty/supervisor.rs
@@ -0,0 +1,107 @@
+//! When the process of an owner has to end: before its lease can expire, first by a signal that it may handle, then by force.
+//! What still runs after that, such as a process that left its group, is refused by the fences of its receivers.
+
+use super::LeaseSettings;
+use crate::member::Millis;
+
+/// A process is asked to end when this fraction of the lease remains, and killed when [`KILL_AT_LEASE_FRACTION`] does: the
+/// lease is renewed four times in its length, so that neither happens while the fleet answers.
+const TERMINATE_AT_LEASE_FRACTION: f64 = 0.3;
+const KILL_AT_LEASE_FRACTION: f64 = 0.1;
+
+/// Why a process was asked to end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopReason {
+    /// Its owner is to release the duty, or was told to end.
+    HandOver,
+    /// Its lease was about to expire, or was lost.
+    LeaseExpiring,
+    /// It ran longer than it may.
+    TimedOut,
+}
+
+/// What is sent to a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopSignal {
+    /// SIGTERM.
+    Terminate,
+    /// SIGKILL.
+    Kill,
+}
+
+/// Supervises one process of an owner.
+#[derive(Clone, Debug)]
+pub struct ProcessSupervisor {
+    lease_settings: LeaseSettings,
+    started_at: Millis,
+    max_duration: Millis,
+    /// Until when its owner owns the duty.
+    owned_until: Millis,
+    stop_requested: Option<(Millis, StopReason)>,
+    is_killed: bool,
+}
+
+impl ProcessSupervisor {
+    /// A process that starts now.
+    pub fn new(
+        lease_settings: LeaseSettings,
+        owned_until: Millis,
+        max_duration: Millis,
+        now: Millis,
+    ) -> ProcessSupervisor {
+        ProcessSupervisor {
+            lease_settings,
+            started_at: now,
+            max_duration,
+            owned_until,
+            stop_requested: None,
+            is_killed: false,
+        }
+    }
+
+    /// The duty is still owned, until then.
+    pub fn extend_ownership(&mut self, until: Millis) {
+        self.owned_until = self.owned_until.max(until);
+    }
+
+    /// The owner wants the process to end.
+    pub fn request_stop(&mut self, now: Millis) {
+        self.stop_requested.get_or_insert((now, StopReason::HandOver));
+    }
+
+    /// The duty is no longer owned, whatever time was left.
+    pub fn ownership_lost(&mut self, now: Millis) {
+        self.owned_until = self.owned_until.min(now);
+        self.stop_requested.get_or_insert((now, StopReason::LeaseExpiring));
+    }
+
+    /// Why the process was asked to end; none where it was not.
+    pub fn stop_reason(&self) -> Option<StopReason> {
+        self.stop_requested.map(|(_, reason)| reason)
+    }
+
+    /// What is to be sent to the process now: each signal once.
+    pub fn step(&mut self, now: Millis) -> Option<StopSignal> {
+        let lease_millis = self.lease_settings.lease_millis as f64;
+        let remaining = self.owned_until.saturating_sub(now) as f64;
+        let was_requested = self.stop_requested.is_some();
+        if remaining <= lease_millis * TERMINATE_AT_LEASE_FRACTION {
+            self.stop_requested.get_or_insert((now, StopReason::LeaseExpiring));
+        }
+        if now.saturating_sub(self.started_at) >= self.max_duration {
+            self.stop_requested.get_or_insert((now, StopReason::TimedOut));
+        }
+        let (requested_at, _) = self.stop_requested?;
+        let grace_period = self.lease_settings.lease_millis / 2;
+        let is_grace_over = now.saturating_sub(requested_at) >= grace_period;
+        if !self.is_killed && (is_grace_over || remaining <= lease_millis * KILL_AT_LEASE_FRACTION) {
+            self.is_killed = true;
+            return Some(StopSignal::Kill);
+        }
+        let is_first_step = !was_requested || requested_at == now;
+        (is_first_step && !self.is_killed).then_some(StopSignal::Terminate)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/loomflow-fleet/src/fleet_state.rs
@@ -0,0 +1,109 @@
+//! The state machine that the log is applied to: maintenance, duties and campaigns. Each checks its own commands; this module
+//! checks who may issue which command on duties and campaigns, and moves all three on by the same time.
+
+use crate::consensus::{SnapshotError, StateMachine};
+use crate::duty::state::Duties;
+use crate::duty::{self, Refusal};
+use crate::maintenance::campaign::{self, Campaigns};
+use crate::maintenance::state::MaintenanceState;
+use crate::maintenance::ticket::Refusal as TicketRefusal;
+use crate::maintenance::{Command, Entry, Issuer, Response};
+use crate::member::{RequestId, ServerName};
+
+/// All that the fleet has agreed on.
+#[derive(Clone, Debug, Default)]
+pub struct FleetState {
+    /// Tickets and rules.
+    pub maintenance: MaintenanceState,
+    /// Sessions and leases.
+    pub duties: Duties,
+    /// Tickets in batches.
+    pub campaigns: Campaigns,
+}
+
+/// The duty whose owner carries out campaigns.
+pub const CAMPAIGN: &str = "campaign";
+
+impl FleetState {
+    /// Applies a command on a campaign: an operator's, or one of the owner of the duty with a valid token.
+    fn apply_to_campaign(&mut self, entry: &Entry, command: &campaign::Command) -> Response {
+        let requested_by = match (&entry.issuer, command.token()) {
+            (Issuer::Operator(operator), None) => operator,
+            (Issuer::Server { name, .. }, Some(token)) => match self.duties.check_token(CAMPAIGN, token) {
+                Ok(()) => name,
+                Err(refusal) => return Response::Duty(duty::Response::Refused(refusal)),
+            },
+            _ => return Response::Refused(TicketRefusal::NotPermitted),
+        };
+        let result = self.campaigns.apply(&mut self.maintenance, entry.id, requested_by, command);
+        result.map_or_else(Response::Refused, Response::Done)
+    }
+
+    /// Applies a command on a duty if its issuer may issue it.
+    fn apply_to_duties(&mut self, entry: &Entry, command: &duty::Command) -> duty::Response {
+        if is_permitted(&entry.issuer, command) {
+            self.duties.apply(command)
+        } else {
+            duty::Response::Refused(Refusal::Invalid("that is not this hand's to say".into()))
+        }
+    }
+}
+
+/// Whether this issuer may issue this command on a duty. What an owner writes is checked by its token as well.
+fn is_permitted(issuer: &Issuer, command: &duty::Command) -> bool {
+    use duty::Command::*;
+    match (issuer, command) {
+        (Issuer::Leader, Declare(..) | KeepAlive(_) | Assign(_) | Recall(_)) => true,
+        (Issuer::Server { name, incarnation }, End(instance)) => {
+            *name == instance.name && *incarnation == instance.incarnation
+        }
+        (Issuer::Server { .. }, Release { .. } | Write { .. }) => true,
+        (Issuer::Operator(_), Recall(_) | Park(..) | Resume(_) | Run(..)) => true,
+        _ => false,
+    }
+}
+
+impl StateMachine for FleetState {
+    type Output = (RequestId, Response);
+
+    fn apply(&mut self, entry: &[u8]) -> Option<(RequestId, Response)> {
+        let entry: Entry = postcard::from_bytes(entry).ok()?;
+        self.duties.advance_time(entry.at);
+        let response = match &entry.command {
+            Command::Duty(command) => {
+                self.maintenance.advance_time(entry.at);
+                Response::Duty(self.apply_to_duties(&entry, command))
+            }
+            Command::Campaign(command) => {
+                self.maintenance.advance_time(entry.at);
+                self.apply_to_campaign(&entry, command)
+            }
+            _ => self.maintenance.apply_entry(&entry),
+        };
+        Some((entry.id, response))
+    }
+
+    fn set_voters(&mut self, names: Vec<ServerName>) {
+        self.maintenance.set_voters(names);
+    }
+
+    fn reset_after_recovery(&mut self) {
+        self.maintenance.reset_after_recovery();
+        self.duties.reset_after_recovery();
+    }
+
+    fn save(&self) -> Vec<u8> {
+        let parts = (self.maintenance.save(), self.duties.save(), &self.campaigns);
+        postcard::to_stdvec(&parts).unwrap_or_default()
+    }
+
+    fn load(bytes: &[u8]) -> Result<FleetState, SnapshotError> {
+        let (maintenance, duties, campaigns): (Vec<u8>, Vec<u8>, Campaigns) =
+            postcard::from_bytes(bytes).map_err(|source| SnapshotError { part: "record", source })?;
+        Ok(FleetState {
+            maintenance: MaintenanceState::load(&maintenance)?,
+            duties: Duties::load(&duties)?,
+            campaigns,
+        })
+    }
+}
--- /dev/null
+++ b/crates/loomflow-fleet/src/maintenance/campaign/tests.rs
@@ -0,0 +1,90 @@
+use super::*;
+use crate::maintenance::ticket::Urgency;
+
+fn request(server: &str) -> TicketRequest {
+    let (zone, reason) = (String::new(), String::new());
+    TicketRequest {
+        server: server.into(),
+        zone,
+        reason,
+        urgency: Urgency::Routine,
+        duration_millis: 60_000,
+        window: None,
+    }
+}
+
+fn started() -> (Campaigns, MaintenanceState) {
+    let (mut campaigns, mut maintenance) = (Campaigns::default(), MaintenanceState::default());
+    let requests = ["a", "b", "c"].map(request).to_vec();
+    let start = Command::Start { name: "kernel".into(), requests, batch_size: 2 };
+    assert_eq!(campaigns.apply(&mut maintenance, 1, "ops", &start), Ok(vec![]));
+    (campaigns, maintenance)
+}
+
+fn next(from_index: u32) -> Command {
+    Command::Next { name: "kernel".into(), from_index, share_before: 0.9, token: 1 }
+}
+
+fn view(last: &[(&str, Option<Stage>)], now: Option<f32>) -> CampaignView {
+    CampaignView {
+        name: "kernel".into(),
+        requested_by: "ops".into(),
+        status: CampaignStatus::Running,
+        next_index: 2,
+        total: 3,
+        last_batch: last.iter().map(|(name, stage)| (name.to_string(), *stage)).collect(),
+        share_before: 0.9,
+        share_now: now,
+        next_batch_share: Some(0.8),
+    }
+}
+
+#[test]
+fn a_batch_that_is_asked_for_again_is_refused_and_the_next_goes_on_where_it_stopped() {
+    let (mut campaigns, mut maintenance) = started();
+    assert_eq!(campaigns.apply(&mut maintenance, 2, "n1", &next(0)), Ok(vec![1, 2]));
+    assert!(
+        campaigns.apply(&mut maintenance, 3, "n2", &next(0)).is_err(),
+        "by another owner, from what it knew"
+    );
+    assert_eq!(maintenance.open().len(), 2);
+    assert_eq!(campaigns.apply(&mut maintenance, 4, "n2", &next(2)), Ok(vec![3]));
+    assert_eq!(campaigns.apply(&mut maintenance, 5, "n2", &next(3)), Ok(vec![]));
+    assert!(!campaigns.is_any_running());
+}
+
+#[test]
+fn it_halts_when_a_batch_comes_back_worse_or_not_at_all() {
+    let done = Some(Stage::Done);
+    let both = |a, b| [("a", a), ("b", b)];
+    assert_eq!(next_step(&view(&both(done, Some(Stage::Out)), Some(0.9))), None, "one is still out");
+    let on = Some(CampaignStep::Next { from_index: 2, share_before: 0.8 });
+    assert_eq!(next_step(&view(&both(done, done), Some(0.85))), on);
+    assert_eq!(next_step(&view(&both(done, done), None)), None, "nothing is known of them");
+    assert_eq!(next_step(&view(&[], None)), on, "resumed, or the first");
+    for (last, now) in [
+        (both(done, done), Some(0.7)),
+        (both(done, Some(Stage::Overdue)), Some(0.9)),
+        (both(Some(Stage::Lapsed), Some(Stage::Out)), Some(0.9)),
+    ] {
+        assert!(
+            matches!(next_step(&view(&last, now)), Some(CampaignStep::Halt { from_index: 2, .. })),
+            "{last:?}"
+        );
+    }
+    let halted =
+        CampaignView { status: CampaignStatus::Halted(String::new()), ..view(&both(done, done), Some(0.9)) };
+    assert_eq!(next_step(&halted), None);
+}
+
+#[test]
+fn halted_it_goes_on_only_when_it_is_resumed() {
+    let (mut campaigns, mut maintenance) = started();
+    campaigns.apply(&mut maintenance, 2, "n1", &next(0)).unwrap();
+    let halt = Command::Halt { name: "kernel".into(), from_index: 2, reason: "worse".into(), token: 1 };
+    assert_eq!(campaigns.apply(&mut maintenance, 3, "n1", &halt), Ok(vec![]));
+    assert!(campaigns.apply(&mut maintenance, 4, "n1", &next(2)).is_err());
+    assert_eq!(campaigns.apply(&mut maintenance, 5, "ops", &Command::Resume("kernel".into())), Ok(vec![]));
+    assert_eq!(campaigns.apply(&mut maintenance, 6, "n1", &next(2)), Ok(vec![3]));
+    assert!(campaigns.apply(&mut maintenance, 7, "ops", &Command::Drop("other".into())).is_err());
+}
--- /dev/null
+++ b/crates/loomflow-fleet/src/maintenance/state.rs
@@ -0,0 +1,244 @@
+//! The state machine that the log is applied to, for maintenance. It checks every transition against the table and the limits
+//! by itself: what the leader saw may be outdated when it is committed, and the limits hold all the same.
+//!
+//! This file holds the state, what can be read of it, and its snapshot; `apply` changes it.
+
+mod apply;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use super::rules::{Rules, voters_needed};
+use super::ticket::{FleetMillis, GrantNumber, Refusal, Stage, Ticket, TicketId};
+use super::{Census, Entry, Response};
+use crate::consensus::{SnapshotError, StateMachine};
+use crate::member::{RequestId, ServerName, Zone};
+
+/// Most open tickets; further ones are refused.
+pub const MAX_OPEN_TICKETS: usize = 12_000;
+/// Closed tickets that are kept.
+pub const MAX_CLOSED_TICKETS: usize = 1_000;
+/// Events that are kept.
+pub const MAX_EVENTS: usize = 2_000;
+/// Responses that are kept for retries.
+const MAX_REMEMBERED_RESPONSES: usize = 1_024;
+/// A ticket whose grants lapsed so often is closed.
+const MAX_LAPSES: u8 = 3;
+/// How far numbers jump when a fleet is recovered: beyond any that the lost data directories may have given out.
+const RECOVERY_ID_GAP: u64 = 1 << 20;
+
+/// A ticket came to a stage.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TicketEvent {
+    /// When.
+    pub at: FleetMillis,
+    /// Which ticket.
+    pub ticket: TicketId,
+    /// Its server.
+    pub server: ServerName,
+    /// The stage.
+    pub stage: Stage,
+    /// The last grant; 0 before there is one.
+    pub grant: GrantNumber,
+}
+
+/// What a snapshot holds; the indexes follow from it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct PersistentState {
+    time: FleetMillis,
+    last_ticket: TicketId,
+    last_grant: GrantNumber,
+    open: BTreeMap<TicketId, Ticket>,
+    closed: VecDeque<Ticket>,
+    rules: Option<Rules>,
+    voters: Vec<ServerName>,
+    paused: Option<String>,
+    drains_without_ticket: u64,
+    last_granted: (ServerName, Zone),
+    events: VecDeque<TicketEvent>,
+    responses: VecDeque<(RequestId, Response)>,
+}
+
+/// Tickets, rules and what has happened.
+#[derive(Clone, Debug, Default)]
+pub struct MaintenanceState {
+    state: PersistentState,
+    /// Servers that hold a place, with the ticket by which.
+    holders: BTreeMap<ServerName, TicketId>,
+    /// Tickets with a deadline, the next first.
+    deadlines: BTreeSet<(FleetMillis, TicketId)>,
+    /// Open tickets of each server.
+    tickets_by_server: BTreeMap<ServerName, BTreeSet<TicketId>>,
+}
+
+impl MaintenanceState {
+    /// The fleet's time at the last entry.
+    pub fn time(&self) -> FleetMillis {
+        self.state.time
+    }
+
+    /// Open tickets.
+    pub fn open(&self) -> &BTreeMap<TicketId, Ticket> {
+        &self.state.open
+    }
+
+    /// The last closed tickets, the oldest first.
+    pub fn closed(&self) -> impl DoubleEndedIterator<Item = &Ticket> {
+        self.state.closed.iter()
+    }
+
+    /// The last events, the oldest first.
+    pub fn events(&self) -> impl DoubleEndedIterator<Item = &TicketEvent> {
+        self.state.events.iter()
+    }
+
+    /// The rules in force; none before any were committed.
+    pub fn rules(&self) -> Option<&Rules> {
+        self.state.rules.as_ref()
+    }
+
+    /// Who has a vote.
+    pub fn voter_names(&self) -> &[ServerName] {
+        &self.state.voters
+    }
+
+    /// Why no grants are given; none where they are.
+    pub fn paused(&self) -> Option<&str> {
+        self.state.paused.as_deref()
+    }
+
+    /// Servers that were shut down without a ticket, since the fleet began.
+    pub fn drains_without_ticket(&self) -> u64 {
+        self.state.drains_without_ticket
+    }
+
+    /// The server that was granted last, and its zone.
+    pub fn last_granted(&self) -> (&str, &str) {
+        (&self.state.last_granted.0, &self.state.last_granted.1)
+    }
+
+    /// Servers that hold a place, with the ticket by which.
+    pub fn holders(&self) -> &BTreeMap<ServerName, TicketId> {
+        &self.holders
+    }
+
+    /// The ticket by which a server holds a place.
+    pub fn ticket_held_by(&self, server: &str) -> Option<&Ticket> {
+        self.state.open.get(self.holders.get(server)?)
+    }
+
+    /// A server's open tickets, oldest first.
+    pub fn tickets_of(&self, server: &str) -> impl Iterator<Item = &Ticket> {
+        let ids = self.tickets_by_server.get(server).into_iter().flatten();
+        ids.filter_map(|id| self.state.open.get(id))
+    }
+
+    /// Any ticket that is open or still kept.
+    pub fn find(&self, id: TicketId) -> Option<&Ticket> {
+        self.state.open.get(&id).or_else(|| self.state.closed.iter().find(|ticket| ticket.id == id))
+    }
+
+    /// The next deadline.
+    pub fn next_deadline(&self) -> Option<FleetMillis> {
+        self.deadlines.first().map(|(at, _)| *at)
+    }
+
+    /// Checks whether one more server may be out: the limits of fleet and zone, and the voters. Counts servers and not
+    /// tickets, so that one that is down and holds a place is out once.
+    ///
+    /// # Errors
+    /// The limit that would be exceeded.
+    pub fn check_place(&self, server: &str, zone: &str, census: &Census) -> Result<(), Refusal> {
+        let out = self.out_with(server, zone, census);
+        self.check_limits(zone, &out, census)?;
+        self.check_voters(server, &out)
+    }
+
+    /// All that would be out if this server went, with their zones.
+    fn out_with<'a>(
+        &'a self,
+        server: &'a str,
+        zone: &'a str,
+        census: &'a Census,
+    ) -> BTreeMap<&'a str, &'a str> {
+        let mut out: BTreeMap<&str, &str> =
+            census.away.iter().map(|(name, zone)| (name.as_str(), zone.as_str())).collect();
+        for (name, id) in &self.holders {
+            let zone = self.state.open.get(id).map_or("", |ticket| ticket.request.zone.as_str());
+            out.insert(name, zone);
+        }
+        out.insert(server, zone);
+        out
+    }
+
+    fn check_limits(&self, zone: &str, out: &BTreeMap<&str, &str>, census: &Census) -> Result<(), Refusal> {
+        let rules = self.state.rules.clone().unwrap_or_default();
+        let check = |count: usize, limit: u32, zone: Option<Zone>| {
+            if count as u32 <= limit {
+                return Ok(());
+            }
+            Err(Refusal::NoPlace { out: count as u32 - 1, limit, zone })
+        };
+        let fleet_size = census.zones.iter().map(|(_, count)| count).sum();
+        check(out.len(), rules.max_out.of(fleet_size), None)?;
+        if let Some(limit) = rules.max_out_per_zone {
+            let zone_size = census.zones.iter().find(|(name, _)| name == zone).map_or(0, |(_, count)| *count);
+            let count = out.values().filter(|other| **other == zone).count();
+            check(count, limit.of(zone_size), Some(zone.to_owned()))?;
+        }
+        Ok(())
+    }
+
+    fn check_voters(&self, server: &str, out: &BTreeMap<&str, &str>) -> Result<(), Refusal> {
+        let voters = &self.state.voters;
+        if !voters.iter().any(|voter| voter == server) {
+            return Ok(());
+        }
+        let stay = voters.iter().filter(|voter| !out.contains_key(voter.as_str())).count() as u32;
+        let needed = voters_needed(voters.len() as u32);
+        if stay < needed { Err(Refusal::Voters { stay, needed }) } else { Ok(()) }
+    }
+}
+
+impl StateMachine for MaintenanceState {
+    type Output = (RequestId, Response);
+
+    fn apply(&mut self, entry: &[u8]) -> Option<(RequestId, Response)> {
+        let entry: Entry = postcard::from_bytes(entry).ok()?;
+        Some((entry.id, self.apply_entry(&entry)))
+    }
+
+    fn set_voters(&mut self, names: Vec<ServerName>) {
+        self.state.voters = names;
+    }
+
+    fn reset_after_recovery(&mut self) {
+        self.state.last_ticket += RECOVERY_ID_GAP;
+        self.state.last_grant += RECOVERY_ID_GAP;
+        // Servers that were granted may have begun by what is lost: those grants are void, and those tickets wait again.
+        let granted: Vec<TicketId> = self
+            .state
+            .open
+            .values()
+            .filter(|ticket| ticket.stage == Stage::Granted)
+            .map(|ticket| ticket.id)
+            .collect();
+        for id in granted {
+            self.update_ticket(id, |ticket| ticket.stage = Stage::Requested);
+        }
+    }
+
+    fn save(&self) -> Vec<u8> {
+        postcard::to_stdvec(&self.state).unwrap_or_default()
+    }
+
+    fn load(bytes: &[u8]) -> Result<MaintenanceState, SnapshotError> {
+        let state: PersistentState =
+            postcard::from_bytes(bytes).map_err(|source| SnapshotError { part: "state", source })?;
+        let mut maintenance = MaintenanceState { state, ..MaintenanceState::default() };
+        let open: Vec<Ticket> = maintenance.state.open.values().cloned().collect();
+        open.iter().for_each(|ticket| maintenance.index(ticket));
+        Ok(maintenance)
+    }
+}
--- /dev/null
+++ b/crates/loomflow-fleet/src/maintenance/state/apply.rs
@@ -0,0 +1,317 @@
+//! How entries of the log and the passing of time change tickets.
+
+use std::collections::BTreeSet;
+
+use super::{
+    MAX_CLOSED_TICKETS, MAX_EVENTS, MAX_LAPSES, MAX_OPEN_TICKETS, MAX_REMEMBERED_RESPONSES, MaintenanceState,
+    TicketEvent,
+};
+use crate::maintenance::ticket::{
+    Actor, FleetMillis, GrantNumber, Refusal, Stage, Ticket, TicketId, TicketRequest, Transition, next_stage,
+};
+use crate::maintenance::{Census, Command, Entry, Issuer, Response};
+use crate::member::{Incarnation, RequestId, ServerName};
+
+impl MaintenanceState {
+    /// Moves the fleet's time on, and lets what is due happen.
+    pub fn advance_time(&mut self, time: FleetMillis) {
+        self.state.time = self.state.time.max(time);
+        self.apply_deadlines();
+    }
+
+    /// Applies one entry. A retry gets the response of the first one, and changes nothing.
+    pub fn apply_entry(&mut self, entry: &Entry) -> Response {
+        let remembered = self.state.responses.iter().rev().find(|(id, _)| *id == entry.id);
+        if let Some((_, response)) = remembered {
+            return response.clone();
+        }
+        self.advance_time(entry.at);
+        let response = self.execute(entry).map_or_else(Response::Refused, Response::Done);
+        if !matches!(entry.issuer, Issuer::Leader) {
+            self.state.responses.push_back((entry.id, response.clone()));
+            if self.state.responses.len() > MAX_REMEMBERED_RESPONSES {
+                self.state.responses.pop_front();
+            }
+        }
+        response
+    }
+
+    fn execute(&mut self, entry: &Entry) -> Result<Vec<TicketId>, Refusal> {
+        match &entry.command {
+            Command::CreateTickets(requests) => {
+                let requested_by = match &entry.issuer {
+                    Issuer::Operator(operator) => operator,
+                    Issuer::Server { name, .. } => name,
+                    Issuer::Leader => "the leader",
+                };
+                return self.create_tickets(entry.id, requested_by, requests);
+            }
+            Command::Grant { ticket, incarnation, census } => {
+                return self.grant(&entry.issuer, *ticket, *incarnation, census);
+            }
+            Command::Transition { ticket, transition, grant, incarnation } => {
+                return self.transition(&entry.issuer, *ticket, *transition, *grant, *incarnation);
+            }
+            Command::Pause(reason) => {
+                require_operator(&entry.issuer)?;
+                self.state.paused = Some(reason.clone());
+            }
+            Command::Resume => {
+                require_operator(&entry.issuer)?;
+                self.state.paused = None;
+            }
+            Command::Rules(rules) => self.state.rules = Some(rules.clone()),
+            Command::DrainedWithoutTicket(_) => self.state.drains_without_ticket += 1,
+            Command::Clock => {}
+            Command::Duty(_) | Command::Campaign(_) => return Err(Refusal::NotPermitted),
+        }
+        Ok(Vec::new())
+    }
+
+    /// Creates tickets, all or none.
+    ///
+    /// # Errors
+    /// Too many are open, or a request is not valid.
+    pub fn create_tickets(
+        &mut self,
+        request_id: RequestId,
+        requested_by: &str,
+        requests: &[TicketRequest],
+    ) -> Result<Vec<TicketId>, Refusal> {
+        if self.state.open.len() + requests.len() > MAX_OPEN_TICKETS {
+            return Err(Refusal::TooMany(self.state.open.len() as u32));
+        }
+        let servers: BTreeSet<&ServerName> = requests.iter().map(|request| &request.server).collect();
+        if requests.is_empty() || servers.len() < requests.len() {
+            return Err(Refusal::Invalid("each server once, and at least one".into()));
+        }
+        requests.iter().try_for_each(TicketRequest::check)?;
+        let now = self.state.time;
+        let mut ids = Vec::with_capacity(requests.len());
+        for request in requests {
+            self.state.last_ticket += 1;
+            let id = self.state.last_ticket;
+            self.insert_ticket(Ticket {
+                id,
+                request_id,
+                request: request.clone(),
+                requested_by: requested_by.to_owned(),
+                stage: Stage::Requested,
+                requested_at: now,
+                since: now,
+                grant: 0,
+                incarnation: 0,
+                returned_incarnation: 0,
+                lapses: 0,
+                deadline: 0,
+            });
+            ids.push(id);
+        }
+        Ok(ids)
+    }
+
+    fn grant(
+        &mut self,
+        issuer: &Issuer,
+        id: TicketId,
+        incarnation: Incarnation,
+        census: &Census,
+    ) -> Result<Vec<TicketId>, Refusal> {
+        let ticket = self.open_ticket(id)?;
+        let stage = next_stage(ticket.stage, Transition::Grant, actor(issuer, ticket)?)?;
+        let (server, zone) = (ticket.request.server.clone(), ticket.request.zone.clone());
+        if self.state.paused.is_some() {
+            return Err(Refusal::Paused);
+        }
+        if ticket.opens_in(self.state.time) > 0 {
+            return Err(Refusal::WindowNotOpen);
+        }
+        if let Some(other) = self.holders.get(&server) {
+            return Err(Refusal::HoldsPlace(*other));
+        }
+        self.check_place(&server, &zone, census)?;
+        self.state.last_grant += 1;
+        self.state.last_granted = (server, zone);
+        let grant = self.state.last_grant;
+        let begin_within = self.state.rules.clone().unwrap_or_default().begin_within_millis;
+        let deadline = self.state.time + begin_within;
+        self.update_ticket(id, |ticket| {
+            ticket.stage = stage;
+            ticket.grant = grant;
+            ticket.incarnation = incarnation;
+            ticket.deadline = deadline;
+        });
+        Ok(vec![id])
+    }
+
+    fn transition(
+        &mut self,
+        issuer: &Issuer,
+        id: TicketId,
+        transition: Transition,
+        grant: GrantNumber,
+        incarnation: Incarnation,
+    ) -> Result<Vec<TicketId>, Refusal> {
+        use Transition::*;
+        let ticket = self.open_ticket(id)?;
+        // A grant comes with a census, and deadlines are not reported by anybody.
+        if matches!(transition, Grant | Lapse | Expire | Overrun) {
+            return Err(Refusal::NotPermitted);
+        }
+        let actor = actor(issuer, ticket)?;
+        // Whatever rests on a grant is void once that grant is not the current one.
+        if matches!(transition, Begin | Recall | Drain | Depart) && grant != ticket.grant {
+            return Err(Refusal::Superseded { grant, current: ticket.grant });
+        }
+        let stage = next_stage(ticket.stage, transition, actor)?;
+        check_incarnation(ticket, transition, actor, incarnation)?;
+        let now = self.state.time;
+        self.update_ticket(id, |ticket| {
+            ticket.stage = stage;
+            match transition {
+                Begin => ticket.deadline = now + ticket.request.duration_millis,
+                Return => ticket.returned_incarnation = incarnation,
+                _ => {}
+            }
+        });
+        Ok(vec![id])
+    }
+
+    /// Applies the deadlines that have passed, in their order.
+    fn apply_deadlines(&mut self) {
+        while let Some((at, id)) = self.deadlines.first().copied().filter(|(at, _)| *at <= self.state.time) {
+            self.deadlines.remove(&(at, id));
+            let Some(ticket) = self.state.open.get(&id) else { continue };
+            let transition = match ticket.stage {
+                Stage::Requested => Transition::Expire,
+                Stage::Granted => Transition::Lapse,
+                _ => Transition::Overrun,
+            };
+            let Ok(stage) = next_stage(ticket.stage, transition, Actor::Leader) else { continue };
+            self.update_ticket(id, |ticket| {
+                ticket.stage = stage;
+                if transition == Transition::Lapse {
+                    ticket.lapses += 1;
+                    if ticket.lapses >= MAX_LAPSES {
+                        ticket.stage = Stage::Lapsed;
+                    }
+                }
+            });
+        }
+    }
+
+    fn open_ticket(&self, id: TicketId) -> Result<&Ticket, Refusal> {
+        match self.find(id) {
+            Some(ticket) if ticket.stage.is_closed() => Err(Refusal::Closed(ticket.stage)),
+            Some(ticket) => Ok(ticket),
+            None => Err(Refusal::Unknown),
+        }
+    }
+
+    /// Changes an open ticket and keeps the indexes right.
+    pub(super) fn update_ticket(&mut self, id: TicketId, update: impl FnOnce(&mut Ticket)) {
+        let Some(mut ticket) = self.state.open.remove(&id) else { return };
+        self.unindex(&ticket);
+        let stage_before = ticket.stage;
+        update(&mut ticket);
+        if ticket.stage != stage_before {
+            ticket.since = self.state.time;
+        }
+        self.insert_ticket(ticket);
+    }
+
+    fn insert_ticket(&mut self, ticket: Ticket) {
+        self.state.events.push_back(TicketEvent {
+            at: self.state.time,
+            ticket: ticket.id,
+            server: ticket.request.server.clone(),
+            stage: ticket.stage,
+            grant: ticket.grant,
+        });
+        if self.state.events.len() > MAX_EVENTS {
+            self.state.events.pop_front();
+        }
+        if ticket.stage.is_closed() {
+            self.state.closed.push_back(ticket);
+            if self.state.closed.len() > MAX_CLOSED_TICKETS {
+                self.state.closed.pop_front();
+            }
+            return;
+        }
+        self.index(&ticket);
+        self.state.open.insert(ticket.id, ticket);
+    }
+
+    /// Adds an open ticket to the indexes.
+    pub(super) fn index(&mut self, ticket: &Ticket) {
+        let server = &ticket.request.server;
+        if let Some(at) = deadline(ticket) {
+            self.deadlines.insert((at, ticket.id));
+        }
+        if ticket.stage.holds_place() {
+            self.holders.insert(server.clone(), ticket.id);
+        }
+        self.tickets_by_server.entry(server.clone()).or_default().insert(ticket.id);
+    }
+
+    fn unindex(&mut self, ticket: &Ticket) {
+        let server = &ticket.request.server;
+        if let Some(at) = deadline(ticket) {
+            self.deadlines.remove(&(at, ticket.id));
+        }
+        if ticket.stage.holds_place() {
+            self.holders.remove(server);
+        }
+        if let Some(ids) = self.tickets_by_server.get_mut(server) {
+            ids.remove(&ticket.id);
+            if ids.is_empty() {
+                self.tickets_by_server.remove(server);
+            }
+        }
+    }
+}
+
+/// When the passing of time changes a ticket as it is.
+fn deadline(ticket: &Ticket) -> Option<FleetMillis> {
+    match ticket.stage {
+        Stage::Requested => ticket.closes_at(),
+        Stage::Granted | Stage::Begun | Stage::Draining | Stage::Out => Some(ticket.deadline),
+        _ => None,
+    }
+}
+
+fn require_operator(issuer: &Issuer) -> Result<(), Refusal> {
+    if matches!(issuer, Issuer::Operator(_)) { Ok(()) } else { Err(Refusal::NotPermitted) }
+}
+
+/// As whom an issuer acts on a ticket. Errors: it is another server's.
+fn actor(issuer: &Issuer, ticket: &Ticket) -> Result<Actor, Refusal> {
+    match issuer {
+        Issuer::Leader => Ok(Actor::Leader),
+        Issuer::Operator(_) => Ok(Actor::Operator),
+        Issuer::Server { name, .. } if *name == ticket.request.server => Ok(Actor::Server),
+        Issuer::Server { .. } => Err(Refusal::NotPermitted),
+    }
+}
+
+/// Checks that a transition is about the right start of the server.
+fn check_incarnation(
+    ticket: &Ticket,
+    transition: Transition,
+    actor: Actor,
+    incarnation: Incarnation,
+) -> Result<(), Refusal> {
+    let expected = match transition {
+        // A server that came back is another incarnation than the one that went.
+        Transition::Return
+            if incarnation <= ticket.incarnation || incarnation < ticket.returned_incarnation =>
+        {
+            return Err(Refusal::OtherIncarnation);
+        }
+        Transition::Begin | Transition::Drain => ticket.incarnation,
+        Transition::Depart if actor == Actor::Server => ticket.last_incarnation(),
+        Transition::Warm | Transition::Cool | Transition::Finish => ticket.returned_incarnation,
+        _ => incarnation,
+    };
+    if expected == incarnation { Ok(()) } else { Err(Refusal::OtherIncarnation) }
+}
--- /dev/null
+++ b/crates/loomflow-fleet/src/maintenance/ticket.rs
@@ -0,0 +1,458 @@
+//! A ticket: one server's turn to be out for maintenance. [`TABLE`] says which transition is legal in which stage and who may
+//! make it; every other one is refused with a reason.
+
+use serde::{Deserialize, Serialize};
+
+pub use crate::member::FleetMillis;
+use crate::member::{Incarnation, MAX_NAME_BYTES, RequestId, ServerName, Zone};
+
+/// Numbers a ticket, from 1 on.
+pub type TicketId = u64;
+/// Rises with every grant: a grant that is received late finds its number superseded.
+pub type GrantNumber = u64;
+
+/// How soon a ticket's server should go.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Urgency {
+    /// Whenever it is its turn.
+    #[default]
+    Routine,
+    /// Before routine work.
+    Urgent,
+    /// The server is broken already: out of service in all but name.
+    Broken,
+}
+
+/// How far a ticket has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Stage {
+    /// Waits for its turn.
+    #[serde(rename = "Asked")]
+    Requested,
+    /// May go: its place is kept until it begins, or the grant lapses.
+    Granted,
+    /// It will go: committed before it does.
+    Begun,
+    /// Answers what it still has.
+    Draining,
+    /// Has shut down.
+    Out,
+    /// Its next incarnation is here.
+    Back,
+    /// It carries its load; its place is free when that has held for a while.
+    Warm,
+    /// Not back in time. Its place is kept.
+    Overdue,
+    /// Its place is free again.
+    Done,
+    /// An operator took it back before it began.
+    Withdrawn,
+    /// Its window closed, or its grants were not taken up.
+    Lapsed,
+    /// Given up by an operator: the server does not come back under this ticket.
+    #[serde(rename = "WrittenOff")]
+    Abandoned,
+}
+
+impl Stage {
+    /// Every stage, in their order.
+    pub const ALL: [Stage; 12] = [
+        Stage::Requested,
+        Stage::Granted,
+        Stage::Begun,
+        Stage::Draining,
+        Stage::Out,
+        Stage::Back,
+        Stage::Warm,
+        Stage::Overdue,
+        Stage::Done,
+        Stage::Withdrawn,
+        Stage::Lapsed,
+        Stage::Abandoned,
+    ];
+
+    /// Whether its server counts as out because of it.
+    pub fn holds_place(self) -> bool {
+        matches!(
+            self,
+            Stage::Granted
+                | Stage::Begun
+                | Stage::Draining
+                | Stage::Out
+                | Stage::Back
+                | Stage::Warm
+                | Stage::Overdue
+        )
+    }
+
+    /// Whether the ticket is closed: no transition leaves this stage.
+    pub fn is_closed(self) -> bool {
+        matches!(self, Stage::Done | Stage::Withdrawn | Stage::Lapsed | Stage::Abandoned)
+    }
+
+    /// The word that operators see.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Stage::Requested => "asked",
+            Stage::Granted => "granted",
+            Stage::Begun => "begun",
+            Stage::Draining => "draining",
+            Stage::Out => "out",
+            Stage::Back => "back",
+            Stage::Warm => "warm",
+            Stage::Overdue => "overdue",
+            Stage::Done => "done",
+            Stage::Withdrawn => "withdrawn",
+            Stage::Lapsed => "lapsed",
+            Stage::Abandoned => "written off",
+        }
+    }
+}
+
+/// What happens to a ticket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Transition {
+    /// The leader lets its server go.
+    Grant,
+    /// The leader takes a grant back before it was taken up: its conditions no longer hold.
+    Recall,
+    /// The server takes up the grant.
+    Begin,
+    /// The server drains.
+    Drain,
+    /// The server has drained and shut down, or is seen to be gone.
+    #[serde(rename = "Leave")]
+    Depart,
+    /// A later incarnation is here.
+    Return,
+    /// It carries its load.
+    Warm,
+    /// It does not after all.
+    Cool,
+    /// It has carried its load for long enough.
+    Finish,
+    /// An operator takes the ticket back.
+    Withdraw,
+    /// An operator gives the server up.
+    #[serde(rename = "WriteOff")]
+    Abandon,
+    /// A deadline passed: a grant was not taken up.
+    Lapse,
+    /// A deadline passed: the window is over.
+    Expire,
+    /// A deadline passed: the server is not back.
+    Overrun,
+}
+
+impl Transition {
+    /// Every transition.
+    pub const ALL: [Transition; 14] = [
+        Transition::Grant,
+        Transition::Recall,
+        Transition::Begin,
+        Transition::Drain,
+        Transition::Depart,
+        Transition::Return,
+        Transition::Warm,
+        Transition::Cool,
+        Transition::Finish,
+        Transition::Withdraw,
+        Transition::Abandon,
+        Transition::Lapse,
+        Transition::Expire,
+        Transition::Overrun,
+    ];
+}
+
+/// Who makes a transition.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Actor {
+    /// The leader of the log, by what it sees of members and time.
+    Leader,
+    /// The server that the ticket is for.
+    Server,
+    /// An operator.
+    Operator,
+    /// Either of the first two: the server reports it, or the leader sees it where no report arrives.
+    ServerOrLeader,
+}
+
+impl Actor {
+    /// Whether `actor` may do what is this actor's to do.
+    pub fn includes(self, actor: Actor) -> bool {
+        self == actor || (self == Actor::ServerOrLeader && matches!(actor, Actor::Server | Actor::Leader))
+    }
+}
+
+/// Why a command on a ticket is not done. It changes nothing then.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
+pub enum Refusal {
+    /// No ticket of that number is known: it never was, or is long closed.
+    #[error("no such ticket is known")]
+    Unknown,
+    /// The ticket is closed.
+    #[error("the ticket is {}", .0.as_str())]
+    #[serde(rename = "Over")]
+    Closed(Stage),
+    /// It has gone too far for this.
+    #[error("it has gone too far for this: {}", .0.as_str())]
+    #[serde(rename = "UnderWay")]
+    TooLate(Stage),
+    /// It has not come so far yet.
+    #[error("it is not so far: {}", .0.as_str())]
+    #[serde(rename = "NotYet")]
+    TooEarly(Stage),
+    /// The grant that this rests on is no longer the current one.
+    #[error("grant {grant} is superseded by {current}")]
+    Superseded {
+        /// The grant that the command names.
+        grant: GrantNumber,
+        /// The ticket's grant.
+        #[serde(rename = "holds")]
+        current: GrantNumber,
+    },
+    /// Another incarnation than the one whose transition it is.
+    #[error("another start of that server is meant")]
+    OtherIncarnation,
+    /// Not by this issuer.
+    #[error("that is not this hand's to do")]
+    #[serde(rename = "NotYours")]
+    NotPermitted,
+    /// No place is free.
+    #[error("{out} are out{}, {limit} may be", zone_suffix(.zone.as_deref()))]
+    NoPlace {
+        /// Servers that are out.
+        out: u32,
+        /// Servers that may be.
+        #[serde(rename = "most")]
+        limit: u32,
+        /// The zone whose limit is reached; none where it is the fleet's.
+        zone: Option<Zone>,
+    },
+    /// Too few voters would stay.
+    #[error("{stay} voters would stay, {needed} are needed")]
+    Voters {
+        /// Voters that would stay.
+        stay: u32,
+        /// Voters that have to.
+        needed: u32,
+    },
+    /// An operator has paused grants.
+    #[error("work is paused")]
+    Paused,
+    /// Its window is not open.
+    #[error("its window is not open")]
+    #[serde(rename = "Window")]
+    WindowNotOpen,
+    /// Its server holds a place under another ticket.
+    #[error("it holds a place by ticket {0}")]
+    HoldsPlace(TicketId),
+    /// So many are open, as many as there may be.
+    #[error("{0} are open, as many as there may be")]
+    TooMany(u32),
+    /// The command makes no sense, in words.
+    #[error("{0}")]
+    #[serde(rename = "Bad")]
+    Invalid(String),
+    /// There is no leader, or it could not be reached; whether the command was done is not known.
+    #[error("no leader could be reached; whether it was done is not known")]
+    NoLeader,
+}
+
+fn zone_suffix(zone: Option<&str>) -> String {
+    zone.map_or(String::new(), |zone| format!(" in zone {zone}"))
+}
+
+/// One legal transition.
+pub struct Rule {
+    /// The stage that it leaves.
+    pub from: Stage,
+    /// What happens.
+    pub transition: Transition,
+    /// Who may make it.
+    pub actor: Actor,
+    /// The stage that it leads to.
+    pub to: Stage,
+}
+
+const fn rule(from: Stage, transition: Transition, actor: Actor, to: Stage) -> Rule {
+    Rule { from, transition, actor, to }
+}
+
+/// All that is legal. Anything else is refused.
+pub const TABLE: [Rule; 33] = {
+    use Actor::{Leader, Operator, Server, ServerOrLeader};
+    use Stage::*;
+    [
+        rule(Requested, Transition::Grant, Leader, Granted),
+        rule(Requested, Transition::Withdraw, Operator, Withdrawn),
+        rule(Requested, Transition::Expire, Leader, Lapsed),
+        rule(Granted, Transition::Begin, Server, Begun),
+        rule(Granted, Transition::Recall, Leader, Requested),
+        rule(Granted, Transition::Lapse, Leader, Requested),
+        rule(Granted, Transition::Withdraw, Operator, Withdrawn),
+        rule(Begun, Transition::Drain, Server, Draining),
+        rule(Begun, Transition::Depart, ServerOrLeader, Out),
+        rule(Begun, Transition::Overrun, Leader, Overdue),
+        rule(Begun, Transition::Abandon, Operator, Abandoned),
+        rule(Draining, Transition::Depart, ServerOrLeader, Out),
+        rule(Draining, Transition::Overrun, Leader, Overdue),
+        rule(Draining, Transition::Abandon, Operator, Abandoned),
+        // A server may be back before anybody saw it gone.
+        rule(Begun, Transition::Return, Leader, Back),
+        rule(Draining, Transition::Return, Leader, Back),
+        rule(Out, Transition::Return, Leader, Back),
+        rule(Out, Transition::Overrun, Leader, Overdue),
+        rule(Out, Transition::Abandon, Operator, Abandoned),
+        rule(Back, Transition::Warm, Leader, Warm),
+        rule(Back, Transition::Depart, ServerOrLeader, Out),
+        // It started once more before it was warm.
+        rule(Back, Transition::Return, Leader, Back),
+        rule(Back, Transition::Abandon, Operator, Abandoned),
+        rule(Warm, Transition::Finish, Leader, Done),
+        rule(Warm, Transition::Cool, Leader, Back),
+        rule(Warm, Transition::Depart, ServerOrLeader, Out),
+        rule(Warm, Transition::Abandon, Operator, Abandoned),
+        rule(Overdue, Transition::Return, Leader, Back),
+        rule(Warm, Transition::Return, Leader, Back),
+        rule(Overdue, Transition::Depart, ServerOrLeader, Overdue),
+        rule(Overdue, Transition::Drain, Server, Overdue),
+        rule(Overdue, Transition::Abandon, Operator, Abandoned),
+        rule(Out, Transition::Depart, ServerOrLeader, Out),
+    ]
+};
+
+/// The stage that a transition leads to.
+///
+/// # Errors
+/// Why the transition is not legal.
+pub fn next_stage(from: Stage, transition: Transition, actor: Actor) -> Result<Stage, Refusal> {
+    match TABLE.iter().find(|rule| rule.from == from && rule.transition == transition) {
+        Some(rule) if rule.actor.includes(actor) => Ok(rule.to),
+        Some(_) => Err(Refusal::NotPermitted),
+        None => Err(refusal(from, transition)),
+    }
+}
+
+/// Why a transition that is not in the table is refused.
+fn refusal(from: Stage, transition: Transition) -> Refusal {
+    use Stage::*;
+    // The first stage in which each transition is possible, on the way from requested to done.
+    let earliest = match transition {
+        Transition::Grant | Transition::Withdraw | Transition::Expire => Requested,
+        Transition::Begin | Transition::Recall | Transition::Lapse => Granted,
+        Transition::Drain | Transition::Depart | Transition::Abandon | Transition::Overrun => Begun,
+        Transition::Return => Draining,
+        Transition::Warm => Back,
+        Transition::Cool | Transition::Finish => Warm,
+    };
+    match from {
+        Done | Withdrawn | Lapsed | Abandoned => Refusal::Closed(from),
+        _ if from < earliest => Refusal::TooEarly(from),
+        _ => Refusal::TooLate(from),
+    }
+}
+
+/// A request to take one server out.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TicketRequest {
+    /// The server.
+    pub server: ServerName,
+    /// Its zone.
+    pub zone: Zone,
+    /// Why, for people.
+    pub reason: String,
+    /// How soon.
+    pub urgency: Urgency,
+    /// How long it is to be out, ms.
+    #[serde(rename = "lasts")]
+    pub duration_millis: FleetMillis,
+    /// When it may be granted, ms from when it was requested: from, and before.
+    pub window: Option<(FleetMillis, FleetMillis)>,
+}
+
+/// The longest reason, bytes.
+pub const MAX_REASON_BYTES: usize = 256;
+/// The shortest maintenance, ms: a second.
+const MIN_DURATION_MILLIS: FleetMillis = 1_000;
+/// The longest maintenance, ms: a week.
+pub const MAX_DURATION_MILLIS: FleetMillis = 7 * 24 * 3_600_000;
+
+impl TicketRequest {
+    /// Checks the request by itself.
+    ///
+    /// # Errors
+    /// What is wrong with it, naming the field.
+    pub fn check(&self) -> Result<(), Refusal> {
+        let invalid = |what: &str| Err(Refusal::Invalid(format!("{}: {what}", self.server)));
+        if !(1..=MAX_NAME_BYTES).contains(&self.server.len()) || self.zone.len() > MAX_NAME_BYTES {
+            return invalid("server: a name has 1 to 64 bytes");
+        }
+        if self.reason.len() > MAX_REASON_BYTES {
+            return invalid("reason: at most 256 bytes");
+        }
+        if !(MIN_DURATION_MILLIS..=MAX_DURATION_MILLIS).contains(&self.duration_millis) {
+            return invalid("for: from a second to a week");
+        }
+        if self.window.is_some_and(|(from, before)| from >= before || before > MAX_DURATION_MILLIS) {
+            return invalid("window: it ends after it begins, within a week");
+        }
+        Ok(())
+    }
+}
+
+/// One server's turn to be out for maintenance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ticket {
+    /// Its number.
+    pub id: TicketId,
+    /// The request that created it.
+    #[serde(rename = "key")]
+    pub request_id: RequestId,
+    /// What was requested.
+    #[serde(rename = "wanted")]
+    pub request: TicketRequest,
+    /// Who requested it, for people.
+    #[serde(rename = "by")]
+    pub requested_by: String,
+    /// How far it has come.
+    pub stage: Stage,
+    /// When it was requested.
+    #[serde(rename = "asked_at")]
+    pub requested_at: FleetMillis,
+    /// When it came to its stage.
+    pub since: FleetMillis,
+    /// The last grant; 0 before there is one.
+    pub grant: GrantNumber,
+    /// The start of the server that may begin, and later the one that did.
+    pub incarnation: Incarnation,
+    /// The start that came back; 0 before that.
+    #[serde(rename = "returned")]
+    pub returned_incarnation: Incarnation,
+    /// Grants that were not taken up.
+    pub lapses: u8,
+    /// When the grant lapses, or the server has to be back.
+    #[serde(rename = "due")]
+    pub deadline: FleetMillis,
+}
+
+impl Ticket {
+    /// Time until its window opens, ms; 0 once it has, or where it has none.
+    pub fn opens_in(&self, now: FleetMillis) -> FleetMillis {
+        let opens_at = self.request.window.map_or(0, |(from, _)| self.requested_at + from);
+        opens_at.saturating_sub(now)
+    }
+
+    /// When its window closes, if it has one.
+    pub fn closes_at(&self) -> Option<FleetMillis> {
+        self.request.window.map(|(_, before)| self.requested_at + before)
+    }
+
+    /// The last start of the server that this ticket knows of.
+    pub fn last_incarnation(&self) -> Incarnation {
+        self.incarnation.max(self.returned_incarnation)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/loomflow-fleet/src/maintenance/ticket/tests.rs
@@ -0,0 +1,64 @@
+use super::*;
+
+#[test]
+fn the_table_names_each_move_of_each_stage_once() {
+    for (at, rule) in TABLE.iter().enumerate() {
+        let twins = TABLE
+            .iter()
+            .filter(|other| other.from == rule.from && other.transition == rule.transition)
+            .count();
+        assert_eq!(twins, 1, "rule {at}");
+        assert!(!rule.from.is_closed(), "nothing moves once it is over");
+    }
+}
+
+#[test]
+fn every_move_of_every_stage_by_every_hand_is_made_or_refused_for_its_reason() {
+    for from in Stage::ALL {
+        for transition in Transition::ALL {
+            let rule = TABLE.iter().find(|rule| rule.from == from && rule.transition == transition);
+            for actor in [Actor::Leader, Actor::Server, Actor::Operator] {
+                let made = next_stage(from, transition, actor);
+                match (rule, made) {
+                    (Some(rule), Ok(to)) => assert!(rule.to == to && rule.actor.includes(actor)),
+                    (Some(rule), Err(Refusal::NotPermitted)) => assert!(!rule.actor.includes(actor)),
+                    (None, Err(Refusal::Closed(stage))) => assert!(stage == from && from.is_closed()),
+                    (None, Err(Refusal::TooLate(stage) | Refusal::TooEarly(stage))) => {
+                        assert!(stage == from && !from.is_closed());
+                    }
+                    (_, other) => panic!("{from:?} {transition:?} {actor:?}: {other:?}"),
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn what_has_begun_is_not_withdrawn_and_what_is_asked_is_not_written_off() {
+    assert_eq!(
+        next_stage(Stage::Begun, Transition::Withdraw, Actor::Operator),
+        Err(Refusal::TooLate(Stage::Begun))
+    );
+    assert_eq!(
+        next_stage(Stage::Requested, Transition::Abandon, Actor::Operator),
+        Err(Refusal::TooEarly(Stage::Requested))
+    );
+    assert_eq!(
+        next_stage(Stage::Requested, Transition::Begin, Actor::Server),
+        Err(Refusal::TooEarly(Stage::Requested))
+    );
+}
+
+#[test]
+fn a_place_is_kept_from_the_grant_until_it_is_warm_for_good_or_written_off() {
+    // No way leads from a stage that holds a place to one that does not, but these.
+    for rule in TABLE.iter().filter(|rule| rule.from.holds_place() && !rule.to.holds_place()) {
+        let free = matches!(
+            (rule.from, rule.transition),
+            (Stage::Granted, Transition::Recall | Transition::Lapse | Transition::Withdraw)
+                | (Stage::Warm, Transition::Finish)
+                | (_, Transition::Abandon)
+        );
+        assert!(free, "{:?} by {:?}", rule.from, rule.transition);
+    }
+}
--- a/crates/loomflow-fleet/src/node/duties.rs
+++ b/crates/loomflow-fleet/src/node/duties.rs
@@ -1,308 +1,377 @@
-//! What a member does about duties: it keeps its session, takes up what it is given, hands over what it is to let go of, and
-//! carries the duties that are there from the start.
+//! What a member does about duties: it renews its session, acquires what it is assigned, releases what it is asked to, and
+//! carries out the built-in duties.
 
 use rand::RngExt;
 
 use super::{Effect, Node};
-use crate::duty::fence::Fence;
+use crate::duty::client_session::{ClientSession, OwnershipChange};
+use crate::duty::fence::{Fence, FenceError};
 use crate::duty::summary::{self, Summary};
-use crate::duty::tenure::{Change, Tenure};
-use crate::duty::{self, Command, Declared, DutyName, Holder, Kept, Note, Terms, Token};
-use crate::member::{Ms, Name, Phase, RequestId};
-use crate::order::campaign::{self, Step};
-use crate::order::{Answer, Ask, By, Told};
-use crate::record::CAMPAIGN;
+use crate::duty::{
+    self, Command as DutyCommand, DutyName, DutySpec, LeaseSettings, OwnerUpdate, Ownership, ServerInstance,
+    Token,
+};
+use crate::fleet_state::CAMPAIGN;
+use crate::maintenance::campaign::{self, CampaignStep, CampaignView};
+use crate::maintenance::{Command, Request, Response, Status, SummaryReport};
+use crate::member::{Millis, Phase, RequestId, ServerName};
 use crate::wire::Body;
 
-/// How often whoever carries campaigns looks at them, ms.
-const CAMPAIGN_LOOK: Ms = 1_000;
+/// How often the owner of campaigns looks at them, ms.
+const CAMPAIGN_PERIOD_MILLIS: Millis = 1_000;
 /// The duty that sums the fleet up.
 pub const SUMMARY: &str = "summary";
 
 /// What a member is told of duties at its start; the same on all members.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Setup {
-    pub terms: Terms,
-    /// The operators' own.
-    pub declared: Vec<Declared>,
+pub struct DutyConfig {
+    /// The operators' settings for all duties.
+    pub lease_settings: LeaseSettings,
+    /// The operators' own duties.
+    pub specs: Vec<DutySpec>,
     /// How often the fleet is summed up, ms.
-    pub summary_every: Ms,
+    pub summary_period_millis: Millis,
 }
 
-impl Setup {
-    /// All duties there are: the operators' and those that are there from the start.
-    pub(super) fn all(&self) -> Vec<Declared> {
-        self.declared.iter().cloned().chain([SUMMARY, CAMPAIGN].map(Declared::plain)).collect()
+impl DutyConfig {
+    /// All duties there are: the operators' and the built-in ones.
+    pub(super) fn all_specs(&self) -> Vec<DutySpec> {
+        let built_in = [SUMMARY, CAMPAIGN].map(DutySpec::plain);
+        self.specs.iter().cloned().chain(built_in).collect()
     }
 }
 
+/// A built-in duty that begins by asking the leader something every so often.
 #[derive(Default)]
-pub(super) struct Duties {
-    pub tenure: Tenure,
-    /// For what owners tell members.
+struct PeriodicQuery {
+    next_at: Millis,
+    /// The question that has no answer yet, and the token that it was asked with.
+    pending: Option<(RequestId, Token)>,
+}
+
+impl PeriodicQuery {
+    /// The question is asked; the next one is due at `next_at`.
+    fn start(&mut self, id: RequestId, token: Token, next_at: Millis) {
+        self.next_at = next_at;
+        self.pending = Some((id, token));
+    }
+
+    /// The token of the question, where this is the answer to it.
+    fn answered(&mut self, id: RequestId) -> Option<Token> {
+        self.pending.take_if(|(pending, _)| *pending == id).map(|(_, token)| token)
+    }
+}
+
+/// A summary that this member received.
+struct ReceivedSummary {
+    at: Millis,
+    owner: ServerName,
+    token: Token,
+    summary: Summary,
+}
+
+/// How far the end of the session is.
+#[derive(Default, PartialEq)]
+enum SessionEnd {
+    #[default]
+    Open,
+    /// The end was sent, and has no response.
+    Pending(RequestId),
+    Ended,
+}
+
+/// A member's part in duties.
+#[derive(Default)]
+pub(super) struct DutyClient {
+    pub session: ClientSession,
+    /// For what owners send to members.
     fence: Fence,
-    /// The last summary, whose it is, and when it was told.
-    told: Option<(Ms, Name, Token, Summary)>,
-    /// When the next one is due, and the question for it that is under way.
-    sum_at: Ms,
-    sum_asked: Option<(RequestId, Token)>,
-    /// The same of campaigns.
-    campaign_at: Ms,
-    campaign_asked: Option<(RequestId, Token)>,
-    /// The word that the session is over: under way, and said.
-    ending: Option<RequestId>,
-    ended: bool,
+    last_summary: Option<ReceivedSummary>,
+    summary_query: PeriodicQuery,
+    campaign_query: PeriodicQuery,
+    session_end: SessionEnd,
 }
 
-impl Duties {
-    pub fn next_wake(&self) -> Ms {
-        let sums = self.tenure.grant(SUMMARY).is_some();
-        let sum_at = if sums { self.sum_at } else { Ms::MAX };
-        let carries = self.tenure.grant(CAMPAIGN).is_some();
-        let campaign_at = if carries { self.campaign_at } else { Ms::MAX };
-        if self.ended { Ms::MAX } else { self.tenure.next_wake().min(sum_at).min(campaign_at) }
+impl DutyClient {
+    /// When something is due next.
+    pub fn next_wake(&self) -> Millis {
+        if self.is_session_ended() {
+            return Millis::MAX;
+        }
+        let due = |duty: &str, query: &PeriodicQuery| {
+            if self.session.grant(duty).is_some() { query.next_at } else { Millis::MAX }
+        };
+        let summary_at = due(SUMMARY, &self.summary_query);
+        let campaign_at = due(CAMPAIGN, &self.campaign_query);
+        self.session.next_wake().min(summary_at).min(campaign_at)
     }
 
-    /// Whether nothing is owned that has to be handed over, and that is said.
-    pub fn is_over(&self) -> bool {
-        self.ended
+    /// Whether nothing is owned any more, and that is reported.
+    pub fn is_session_ended(&self) -> bool {
+        self.session_end == SessionEnd::Ended
     }
 }
 
 impl Node {
-    /// What this member owns of a duty at this moment; none where it is not its owner, or not surely.
-    pub fn owns(&self, duty: &str, now: Ms) -> Option<Token> {
-        self.setup.duties.as_ref()?;
-        self.duties.tenure.owns(duty, now)
+    /// The token by which this member owns a duty at this moment; none where it does not, or cannot be sure.
+    pub fn owned_token(&self, duty: &str, now: Millis) -> Option<Token> {
+        self.config.duties.as_ref()?;
+        self.duties.session.owned_token(duty, now)
     }
 
-    /// All that it owns at this moment, with tokens.
-    pub fn owned(&self, now: Ms) -> Vec<(DutyName, Token)> {
-        let held = self.duties.tenure.held();
-        held.filter_map(|grant| Some((grant.duty.clone(), self.owns(&grant.duty, now)?))).collect()
+    /// All duties that it owns at this moment, with their tokens.
+    pub fn owned_duties(&self, now: Millis) -> Vec<(DutyName, Token)> {
+        let grants = self.duties.session.grants();
+        let owned = |grant: &duty::Grant| Some((grant.duty.clone(), self.owned_token(&grant.duty, now)?));
+        grants.filter_map(owned).collect()
     }
 
-    /// What is known of a duty that it owns.
+    /// The grant of a duty, valid or not.
     pub fn grant(&self, duty: &str) -> Option<&duty::Grant> {
-        self.duties.tenure.grant(duty)
+        self.duties.session.grant(duty)
     }
 
-    /// The terms that the operators set, as this member has them.
-    pub fn terms(&self) -> Terms {
-        self.setup.duties.as_ref().map_or_else(Terms::default, |setup| setup.terms)
+    /// The operators' settings, as this member has them.
+    pub fn lease_settings(&self) -> LeaseSettings {
+        self.config.duties.as_ref().map_or_else(LeaseSettings::default, |config| config.lease_settings)
     }
 
-    /// Until when, by its own clock, what it owns is its own.
-    pub fn owned_until(&self) -> Ms {
-        self.duties.tenure.until()
+    /// Until when, by its own clock, this member owns what it owns.
+    pub fn owned_until(&self) -> Millis {
+        self.duties.session.valid_until()
     }
 
-    /// The server has finished with a duty, or left it where the next owner can go on.
-    pub fn release(&mut self, duty: &str, now: Ms) {
-        if let Some(token) = self.duties.tenure.let_go(duty) {
-            let command = Command::Release { duty: duty.to_owned(), token, to: None };
-            self.say_duty(command, now);
+    /// The server has finished with a duty, or left it where the next owner can continue.
+    pub fn release(&mut self, duty: &str, now: Millis) {
+        if let Some(token) = self.duties.session.release(duty) {
+            let command = DutyCommand::Release { duty: duty.to_owned(), token, successor: None };
+            self.send_duty_command(command, now);
         }
-        self.end_session(now);
-        self.settle(now);
+        self.end_session_when_idle(now);
+        self.process_outputs(now);
     }
 
-    /// Writes something of a duty into the fleet's record. The answer comes as an effect.
-    pub fn write(&mut self, duty: &str, token: Token, note: Note, now: Ms) -> RequestId {
-        let id = self.say_duty(Command::Write { duty: duty.to_owned(), token, note }, now);
-        self.settle(now);
+    /// Writes something about a duty into the fleet's state. The response comes as an effect.
+    pub fn write(&mut self, duty: &str, token: Token, update: OwnerUpdate, now: Millis) -> RequestId {
+        let command = DutyCommand::Write { duty: duty.to_owned(), token, update };
+        let id = self.send_duty_command(command, now);
+        self.process_outputs(now);
         id
     }
 
-    fn say_duty(&mut self, command: Command, now: Ms) -> RequestId {
+    fn send_duty_command(&mut self, command: DutyCommand, now: Millis) -> RequestId {
         let id = self.rng.random();
-        let (name, incarnation) = (self.me().name.clone(), self.me().incarnation);
-        let command = crate::order::Command::Duty(command);
-        self.submit_as(id, Ask::Do { by: By::Server { name, incarnation }, command }, now);
+        let request = Request::Execute { issuer: self.issuer(), command: Command::Duty(command) };
+        self.submit_as(id, request, now);
         id
     }
 
-    /// Keeps the session, sums up, and ends what is over by time. What came of it is an effect.
-    pub(super) fn see_to_duties(&mut self, now: Ms) {
-        let Some(setup) = &self.setup.duties else { return };
-        if self.duties.ended {
+    /// Renews the session, carries out the built-in duties, and gives up what has expired.
+    pub(super) fn run_duties(&mut self, now: Millis) {
+        let Some(config) = &self.config.duties else { return };
+        if self.duties.is_session_ended() {
             return;
         }
-        let every = setup.summary_every;
-        self.duties.tenure.expire(now);
-        self.end_session(now);
-        if self.duties.ending.is_none() && self.duties.tenure.is_due(now) {
-            let me = self.me();
-            let holder = Holder { name: me.name.clone(), incarnation: me.incarnation };
-            let id = self.rng.random();
-            if let Some(before) = self.duties.tenure.asked(id, now) {
-                self.forget(before);
-            }
-            let by = By::Server { name: holder.name.clone(), incarnation: holder.incarnation };
-            let command = crate::order::Command::Duty(Command::KeepAlive(vec![holder]));
-            self.submit_as(id, Ask::Do { by, command }, now);
+        let summary_period = config.summary_period_millis;
+        self.duties.session.expire(now);
+        self.end_session_when_idle(now);
+        if self.duties.session_end == SessionEnd::Open && self.duties.session.is_renewal_due(now) {
+            self.renew_session(now);
         }
-        if let Some(token) = self.owns(SUMMARY, now)
-            && now >= self.duties.sum_at
+        if let Some(token) = self.owned_token(SUMMARY, now)
+            && now >= self.duties.summary_query.next_at
         {
-            self.duties.sum_at = now + every;
             let id = self.rng.random();
-            self.duties.sum_asked = Some((id, token));
-            self.submit_as(id, Ask::Status, now);
+            self.duties.summary_query.start(id, token, now + summary_period);
+            self.submit_as(id, Request::Status, now);
         }
-        if let Some(token) = self.owns(CAMPAIGN, now)
-            && now >= self.duties.campaign_at
+        if let Some(token) = self.owned_token(CAMPAIGN, now)
+            && now >= self.duties.campaign_query.next_at
         {
-            self.duties.campaign_at = now + CAMPAIGN_LOOK;
             let id = self.rng.random();
-            self.duties.campaign_asked = Some((id, token));
-            self.submit_as(id, Ask::Campaigns, now);
+            self.duties.campaign_query.start(id, token, now + CAMPAIGN_PERIOD_MILLIS);
+            self.submit_as(id, Request::Campaigns, now);
+        }
+        self.process_ownership_changes(now);
+    }
+
+    fn own_instance(&self) -> ServerInstance {
+        let identity = self.identity();
+        ServerInstance { name: identity.name.clone(), incarnation: identity.incarnation }
+    }
+
+    fn renew_session(&mut self, now: Millis) {
+        let id = self.rng.random();
+        if let Some(unanswered) = self.duties.session.renewal_sent(id, now) {
+            self.cancel_request(unanswered);
         }
-        self.heed_changes(now);
+        let command = Command::Duty(DutyCommand::KeepAlive(vec![self.own_instance()]));
+        self.submit_as(id, Request::Execute { issuer: self.issuer(), command }, now);
     }
 
-    /// What is to be done about each campaign: said with the token, so that an owner that is no longer one changes nothing.
-    fn carry_campaigns(&mut self, token: Token, views: &[campaign::View], now: Ms) {
+    /// Does what each campaign calls for. Its commands carry the token, so that a former owner changes nothing.
+    fn run_campaigns(&mut self, token: Token, views: &[CampaignView], now: Millis) {
         for view in views {
             let name = view.name.clone();
-            let command = match campaign::step(view) {
+            let command = match campaign::next_step(view) {
                 None => continue,
-                Some(Step::Next { from, base }) => campaign::Command::Next { name, from, base, token },
-                Some(Step::Halt { from, reason }) => {
-                    self.note(format!("campaign {name} halts: {reason}"));
-                    campaign::Command::Halt { name, from, reason, token }
+                Some(CampaignStep::Next { from_index, share_before }) => {
+                    campaign::Command::Next { name, from_index, share_before, token }
+                }
+                Some(CampaignStep::Halt { from_index, reason }) => {
+                    self.log(format!("campaign {name} halts: {reason}"));
+                    campaign::Command::Halt { name, from_index, reason, token }
                 }
             };
-            let (server, incarnation) = (self.me().name.clone(), self.me().incarnation);
-            let command = crate::order::Command::Campaign(command);
-            self.submit(Ask::Do { by: By::Server { name: server, incarnation }, command }, now);
+            let command = Command::Campaign(command);
+            self.submit(Request::Execute { issuer: self.issuer(), command }, now);
         }
     }
 
-    fn heed_changes(&mut self, now: Ms) {
-        // What comes while this server leaves is handed over at once.
-        if self.phase == Phase::Leaving {
-            self.duties.tenure.recall_all();
+    /// Passes changes of what is owned on to the driver.
+    fn process_ownership_changes(&mut self, now: Millis) {
+        // What is acquired while this server drains is released at once.
+        if self.phase == Phase::Draining {
+            self.duties.session.recall_all();
         }
-        for change in self.duties.tenure.changes() {
+        for change in self.duties.session.take_changes() {
             match &change {
-                Change::Took(grant) => self.note(format!("owns {} by token {}", grant.duty, grant.token)),
-                Change::Lost(duty, token) => self.note(format!("no longer owns {duty}, token {token}")),
-                // Nothing of these is worth finishing: the record has how far they are.
-                Change::HandOver(duty, _) if duty == SUMMARY || duty == CAMPAIGN => {
+                OwnershipChange::Acquired(grant) => {
+                    self.log(format!("owns {} by token {}", grant.duty, grant.token));
+                }
+                OwnershipChange::Lost(duty, token) => {
+                    self.log(format!("no longer owns {duty}, token {token}"));
+                }
+                // Nothing of these has to be finished: the fleet's state holds how far they are.
+                OwnershipChange::ReleaseRequested(duty, _) if duty == SUMMARY || duty == CAMPAIGN => {
                     let duty = duty.clone();
                     self.release(&duty, now);
                     continue;
                 }
-                Change::HandOver(..) => {}
+                OwnershipChange::ReleaseRequested(..) => {}
             }
             self.effects.push(Effect::Duty(change));
         }
     }
 
-    /// The server leaves: all that it owns is to be handed over while it drains.
-    pub(super) fn hand_over_all(&mut self, now: Ms) {
-        self.duties.tenure.recall_all();
-        self.heed_changes(now);
+    /// The server shuts down: all that it owns is to be released while it drains.
+    pub(super) fn release_all_duties(&mut self, now: Millis) {
+        self.duties.session.recall_all();
+        self.process_ownership_changes(now);
     }
 
-    /// The server has drained: its session ends as soon as it owns nothing any more. What it still owns when the driver waits
-    /// no longer is over by time alone.
-    pub(super) fn end_session(&mut self, now: Ms) {
-        if !self.own.drained || self.duties.ended || self.duties.ending.is_some() {
+    /// Once the server has drained, its session ends as soon as it owns nothing any more. What it still owns when the driver
+    /// waits no longer expires.
+    pub(super) fn end_session_when_idle(&mut self, now: Millis) {
+        if !self.own_ticket.has_drained || self.duties.session_end != SessionEnd::Open {
             return;
         }
-        if self.setup.duties.is_none() {
-            self.duties.ended = true;
+        if self.config.duties.is_none() {
+            self.duties.session_end = SessionEnd::Ended;
             return;
         }
-        if self.duties.tenure.held().next().is_some() {
+        if self.duties.session.grants().next().is_some() {
             return;
         }
-        self.duties.tenure.end();
-        let me = self.me();
-        let holder = Holder { name: me.name.clone(), incarnation: me.incarnation };
-        self.duties.ending = Some(self.say_duty(Command::End(holder), now));
+        self.duties.session.end();
+        let id = self.send_duty_command(DutyCommand::End(self.own_instance()), now);
+        self.duties.session_end = SessionEnd::Pending(id);
     }
 
-    /// An answer to something that this member asked on duties; true where it was one.
-    pub(super) fn duty_answered(&mut self, id: RequestId, answer: &Answer, asked_at: Ms, now: Ms) -> bool {
-        if self.duties.ending == Some(id) {
-            self.duties.ended = true;
+    /// Handles the response to a request of this member's part in duties; true where it was one.
+    pub(super) fn handle_duty_response(
+        &mut self,
+        id: RequestId,
+        response: &Response,
+        sent_at: Millis,
+        now: Millis,
+    ) -> bool {
+        if self.duties.session_end == SessionEnd::Pending(id) {
+            self.duties.session_end = SessionEnd::Ended;
             return true;
         }
-        if let Some((_, token)) = self.duties.sum_asked.filter(|(asked, _)| *asked == id) {
-            self.duties.sum_asked = None;
-            if let Answer::Status(status) = answer
-                && self.owns(SUMMARY, now) == Some(token)
+        if let Some(token) = self.duties.summary_query.answered(id) {
+            if let Response::Status(status) = response
+                && self.owned_token(SUMMARY, now) == Some(token)
             {
-                let rows = status.members.iter().map(|member| summary::Row {
-                    name: &member.name,
-                    zone: &member.zone,
-                    standing: member.standing,
-                    digest: member.digest,
-                });
-                self.tell_summary(token, summary::fold(rows), now);
+                self.send_summary(token, summary_of(status), now);
             }
             return true;
         }
-        if let Some((_, token)) = self.duties.campaign_asked.filter(|(asked, _)| *asked == id) {
-            self.duties.campaign_asked = None;
-            if let Answer::Campaigns(views) = answer
-                && self.owns(CAMPAIGN, now) == Some(token)
+        if let Some(token) = self.duties.campaign_query.answered(id) {
+            if let Response::Campaigns(views) = response
+                && self.owned_token(CAMPAIGN, now) == Some(token)
             {
-                self.carry_campaigns(token, views, now);
+                self.run_campaigns(token, views, now);
             }
             return true;
         }
-        if !self.duties.tenure.is_own(id) {
+        if !self.duties.session.is_pending_renewal(id) {
             return false;
         }
-        if let Answer::Duty(duty::Answer::Kept(kept)) = answer {
-            self.duties.tenure.answered(kept.clone(), asked_at, now);
+        if let Response::Duty(duty::Response::Ownership(ownership)) = response {
+            self.duties.session.renewed(ownership.clone(), sent_at, now);
         }
-        self.heed_changes(now);
+        self.process_ownership_changes(now);
         true
     }
 
-    /// The leader's word on what this member owns.
-    pub(super) fn duties_told(&mut self, kept: Kept, now: Ms) {
-        if self.setup.duties.is_some() && !self.duties.ended {
-            self.duties.tenure.told(kept, now);
-            self.heed_changes(now);
+    /// Handles the leader's notice of what this member owns.
+    pub(super) fn handle_ownership(&mut self, ownership: Ownership, now: Millis) {
+        if self.config.duties.is_some() && !self.duties.is_session_ended() {
+            self.duties.session.notified(ownership, now);
+            self.process_ownership_changes(now);
         }
     }
 
-    fn tell_summary(&mut self, token: Token, summary: Summary, now: Ms) {
-        let alive = self.membership.known().values().filter(|one| one.swim != foca::State::Down);
-        let names: Vec<Name> = alive.map(|one| one.me.name.clone()).collect();
+    fn send_summary(&mut self, token: Token, summary: Summary, now: Millis) {
+        let known = self.membership.known().values();
+        let alive = known.filter(|known| known.swim_state != foca::State::Down);
+        let names: Vec<ServerName> = alive.map(|known| known.identity.name.clone()).collect();
         for name in names {
             self.send(&name, Body::Summary { token, summary: summary.clone() });
         }
-        self.summary_told(self.me().name.clone(), token, summary, now);
+        self.handle_summary(self.identity().name.clone(), token, summary, now);
     }
 
-    /// The owner of the summary tells it; one who no longer is is refused by its token.
-    pub(super) fn summary_told(&mut self, by: Name, token: Token, summary: Summary, now: Ms) {
-        // The fence is kept where the summary is: in this member's memory.
+    /// Handles the summary of its owner; a former owner is refused by its token.
+    pub(super) fn handle_summary(&mut self, owner: ServerName, token: Token, summary: Summary, now: Millis) {
+        // The fence is stored where the summary is: in this member's memory.
         match self.duties.fence.admit(SUMMARY, token, |_| Ok::<(), ()>(())) {
-            Ok(()) => self.duties.told = Some((now, by, token, summary)),
-            Err(why) => {
-                if let duty::fence::Shut::Stale { token, seen } = why {
-                    self.note(format!("a summary by {by} was refused: token {token}, {seen} was here"));
-                }
+            Ok(()) => {
+                self.duties.last_summary = Some(ReceivedSummary { at: now, owner, token, summary });
             }
+            Err(FenceError::Stale { token, highest }) => {
+                self.log(format!("a summary by {owner} was refused: token {token}, {highest} was here"));
+            }
+            Err(_) => {}
         }
     }
 
-    /// The last summary, as it is told to operators.
-    pub(super) fn told(&self, now: Ms) -> Option<Told> {
-        let (at, by, token, summary) = self.duties.told.clone()?;
-        Some(Told { by, token, age: now.saturating_sub(at), summary })
+    /// The last summary, as operators are shown it.
+    pub(super) fn summary_report(&self, now: Millis) -> Option<SummaryReport> {
+        let received = self.duties.last_summary.as_ref()?;
+        Some(SummaryReport {
+            owner: received.owner.clone(),
+            token: received.token,
+            age_millis: now.saturating_sub(received.at),
+            summary: received.summary.clone(),
+        })
     }
 
-    /// Orders of old owners that this member refused.
-    pub(super) fn refused(&self) -> u64 {
+    /// Messages of former owners that this member refused.
+    pub(super) fn refused_messages(&self) -> u64 {
         self.duties.fence.refused()
     }
 }
+
+/// Sums up what the leader knows of the members.
+fn summary_of(status: &Status) -> Summary {
+    let loads = status.members.iter().map(|member| summary::MemberLoad {
+        name: &member.name,
+        zone: &member.zone,
+        state: member.state,
+        load_report: member.load_report,
+    });
+    summary::summarize(loads)
+}
