--- a/crates/loomflow-fleet/src/node/mod.rs
+++ b/crates/loomflow-fleet/src/node/mod.rs
@@ -1,18 +1,21 @@
-//! One member of the fleet: membership, agreement and order put together. Fed messages, times and the server's load; what
-//! it wants done comes out as [`Effect`]s.
+//! One member of the fleet: membership, consensus, maintenance and duties put together. Fed messages, times and the server's
+//! load; what it wants done comes out as [`Effect`]s.
 //!
 //! - this file: who it is, what comes in and where it goes;
-//! - `asks`: requests on their way to the leader and answers on their way back;
-//! - `own`: what it does about a ticket of its own: begin, drain, leave;
-//! - `lead`: the leader's round: voters, moves, the next grant;
-//! - `duties`: its session, and the duties that it owns;
-//! - `lead_duties`: the leader's part in them.
+//! - `outgoing`: what it sends to other members;
+//! - `requests`: requests on their way to the leader and responses on their way back;
+//! - `own_ticket`: what it does about a ticket of its own: begin, drain, depart;
+//! - `leadership`: the leader's round: voters, transitions, the next grant;
+//! - [`duties`]: its session, and the duties that it owns;
+//! - `duty_leadership`: the leader's part in them;
+//! - `status`: what it tells operators.
 
-mod asks;
 pub mod duties;
-mod lead;
-mod lead_duties;
-mod own;
+mod duty_leadership;
+mod leadership;
+mod outgoing;
+mod own_ticket;
+mod requests;
 mod status;
 
 use std::collections::BTreeMap;
@@ -21,81 +24,110 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::agreement::Agreement;
-use crate::agreement::disk::Disk;
-use crate::duty::tenure::Change;
-use crate::member::{DIGEST_OLD, DIGEST_PERIOD, Digest, Me, Ms, Name, Phase, RequestId, Seat, Zone};
+use crate::consensus::storage::{Storage, StorageError};
+use crate::consensus::{Consensus, ConsensusError};
+use crate::duty::client_session::OwnershipChange;
+use crate::fleet_state::FleetState;
+use crate::maintenance::headroom::Headroom;
+use crate::maintenance::rules::Rules;
+use crate::maintenance::state::MaintenanceState;
+use crate::maintenance::ticket::TicketId;
+use crate::maintenance::{Issuer, Request, Response};
+use crate::member::{
+    LoadReport, MemberIdentity, MemberState, MemberView, Millis, Phase, REPORT_MAX_AGE_MILLIS,
+    REPORT_PERIOD_MILLIS, RequestId, ServerName, Zone,
+};
 use crate::membership::Membership;
-use crate::order::headroom::{Headroom, Seen};
-use crate::order::rules::Rules;
-use crate::order::state::Order;
-use crate::order::ticket::TicketId;
-use crate::order::{Answer, Ask};
-use crate::record::Record;
-use crate::wire::{self, Body, Malformed, Message, Notice};
-
-use asks::Asks;
-use duties::Duties;
-use lead::Lead;
-use own::Own;
+use crate::wire::{self, Body, FrameError, Message, Notice};
+
+use duties::DutyClient;
+use leadership::Leadership;
+use own_ticket::OwnTicket;
+use requests::PendingRequests;
 
 /// What a member is told at its start.
 #[derive(Clone, Debug)]
-pub struct Setup {
+pub struct NodeConfig {
+    /// The fleet's name.
     pub fleet: String,
-    pub name: Name,
+    /// The server's name.
+    pub name: ServerName,
+    /// Its zone.
     pub zone: Zone,
     /// Where the others reach it.
     pub address: SocketAddr,
     /// Names and addresses of those who shall vote; all others join by them.
-    pub voters: Vec<(Name, SocketAddr)>,
-    /// Other ways to members than the addresses they tell.
-    pub via: BTreeMap<Name, SocketAddr>,
+    pub voters: Vec<(ServerName, SocketAddr)>,
+    /// Other addresses of members than those they announce.
+    pub via: BTreeMap<ServerName, SocketAddr>,
+    /// The operators' rules for maintenance.
     pub rules: Rules,
     /// None where this fleet has no duties.
-    pub duties: Option<duties::Setup>,
+    pub duties: Option<duties::DutyConfig>,
     /// Of everything drawn here; the same seed and the same inputs give the same outputs.
     pub seed: u64,
-    /// Unix ms at the start.
-    pub wall: u64,
+    /// The wall clock at the start, Unix ms.
+    pub unix_millis: u64,
 }
 
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
-    /// A sealed message; lost ones are made up for.
+    /// Send an encoded message; it need not arrive.
     Send {
-        to: Name,
+        /// The receiver.
+        to: ServerName,
+        /// Its address.
         address: SocketAddr,
+        /// The message with its length.
         bytes: Vec<u8>,
     },
-    /// Its begin is agreed on: the server is to leave as on SIGTERM.
-    Leave(TicketId),
-    Answered(RequestId, Answer),
-    /// It came to own a duty, is to hand it over, or no longer owns it.
-    Duty(Change),
-    /// For the log.
-    Note(String),
+    /// Shut the server down as on SIGTERM: its begin is committed.
+    Drain(TicketId),
+    /// The response to a request that was submitted here.
+    Responded(RequestId, Response),
+    /// The server acquired a duty, is to release it, or no longer owns it.
+    Duty(OwnershipChange),
+    /// A line for the log.
+    Log(String),
+}
+
+/// Why a fleet cannot be created or recovered here.
+#[derive(Debug, thiserror::Error)]
+pub enum BootstrapError {
+    /// Another voter has a fleet.
+    #[error("{0} already belongs to a fleet: this voter will be let in")]
+    FleetExists(ServerName),
+    /// The settings do not name this server as a voter.
+    #[error("this server is not among fleet.voters")]
+    NotAVoter,
+    /// The data directory cannot be used, in words.
+    #[error("{0}")]
+    StorageUnavailable(String),
+    /// The voter refuses.
+    #[error(transparent)]
+    Consensus(#[from] ConsensusError),
 }
 
+/// One member of the fleet.
 pub struct Node {
-    setup: Setup,
+    config: NodeConfig,
     membership: Membership,
     /// Voters only.
-    agreement: Option<Agreement<Record>>,
-    /// Why the folder cannot be used.
-    fault: Option<String>,
+    consensus: Option<Consensus<FleetState>>,
+    /// Why the data directory cannot be used, in words.
+    storage_error: Option<String>,
     rng: SmallRng,
-    /// The server's load, and when it was told.
-    load: Option<(Ms, Digest)>,
+    /// The server's load, and when it was reported.
+    load: Option<(Millis, LoadReport)>,
     phase: Phase,
-    digest_at: Ms,
-    /// The newest that a voter told: term and index of its log, and what it knows.
-    heard: Option<(Ms, Notice)>,
-    own: Own,
-    asks: Asks,
-    lead: Lead,
-    duties: Duties,
+    next_report_at: Millis,
+    /// The newest notice of a voter, and when it came.
+    last_notice: Option<(Millis, Notice)>,
+    own_ticket: OwnTicket,
+    requests: PendingRequests,
+    leadership: Leadership,
+    duties: DutyClient,
     headroom: Headroom,
     effects: Vec<Effect>,
     /// Messages that could not be read, or are another fleet's.
@@ -103,308 +135,277 @@
 }
 
 impl Node {
-    /// A member that joins by the voters. `disk` holds what must outlast it; a voter whose folder cannot be used goes on
-    /// without a vote.
-    pub fn start(setup: Setup, mut disk: Box<dyn Disk>, now: Ms) -> Node {
-        let mut rng = SmallRng::seed_from_u64(setup.seed);
-        let votes = setup.voters.iter().any(|(name, _)| *name == setup.name);
-        let mut incarnation = setup.wall;
-        let (mut agreement, mut fault) = (None, None);
-        if votes {
-            let begun = Agreement::start(setup.name.clone(), disk, rng.random(), setup.wall, now);
-            incarnation = begun.incarnation();
-            agreement = Some(begun);
+    /// A member that joins by the voters. `storage` holds what must outlast it; a voter whose data directory cannot be used
+    /// continues without a vote.
+    pub fn start(config: NodeConfig, storage: Box<dyn Storage>, now: Millis) -> Node {
+        let mut rng = SmallRng::seed_from_u64(config.seed);
+        let is_voter = config.voters.iter().any(|(name, _)| *name == config.name);
+        let mut storage_error = None;
+        let (incarnation, consensus) = if is_voter {
+            let seed = rng.random();
+            let consensus = Consensus::start(config.name.clone(), storage, seed, config.unix_millis, now);
+            (consensus.incarnation(), Some(consensus))
         } else {
-            match own::count_start(&mut *disk, setup.wall) {
-                Ok(counted) => incarnation = counted,
-                Err(why) => fault = Some(why),
-            }
-        }
-        let me = Me::new(setup.name.clone(), setup.zone.clone(), setup.address, incarnation);
-        let seed = |(name, address): &(Name, SocketAddr)| Me::new(name.clone(), Zone::new(), *address, 0);
-        let seeds = setup.voters.iter().map(seed).collect();
+            let counted = own_ticket::count_start(storage, config.unix_millis);
+            let counted = counted.map_err(|error: StorageError| storage_error = Some(error.to_string()));
+            (counted.unwrap_or(config.unix_millis), None)
+        };
+        let (name, zone) = (config.name.clone(), config.zone.clone());
+        let identity = MemberIdentity::new(name, zone, config.address, incarnation);
+        let seeds = config
+            .voters
+            .iter()
+            .map(|(name, address)| MemberIdentity::new(name.clone(), Zone::new(), *address, 0))
+            .collect();
         Node {
-            membership: Membership::new(me, seeds, rng.random(), now),
-            agreement,
-            fault,
+            membership: Membership::new(identity, seeds, rng.random(), now),
+            consensus,
+            storage_error,
             rng,
             load: None,
             phase: Phase::Cold,
-            digest_at: now,
-            heard: None,
-            own: Own::default(),
-            asks: Asks::default(),
-            lead: Lead::default(),
-            duties: Duties::default(),
+            next_report_at: now,
+            last_notice: None,
+            own_ticket: OwnTicket::default(),
+            requests: PendingRequests::default(),
+            leadership: Leadership::default(),
+            duties: DutyClient::default(),
             headroom: Headroom::default(),
             effects: Vec::new(),
             malformed: 0,
-            setup,
+            config,
         }
     }
 
-    pub fn me(&self) -> &Me {
-        self.membership.me()
+    /// Who this member is.
+    pub fn identity(&self) -> &MemberIdentity {
+        self.membership.identity()
+    }
+
+    /// This start of the server, as the issuer of commands.
+    fn issuer(&self) -> Issuer {
+        let identity = self.identity();
+        Issuer::Server { name: identity.name.clone(), incarnation: identity.incarnation }
     }
 
+    /// The members of the fleet as this one sees them.
     pub fn membership(&self) -> &Membership {
         &self.membership
     }
 
-    /// The order as this voter has applied it.
-    pub fn order(&self) -> Option<&Order> {
-        self.record().map(|record| &record.order)
+    /// Tickets and rules, as this voter has applied them; none where it is not a voter.
+    pub fn maintenance(&self) -> Option<&MaintenanceState> {
+        self.fleet_state().map(|state| &state.maintenance)
     }
 
-    /// All that was agreed on, as this voter has applied it.
-    pub fn record(&self) -> Option<&Record> {
-        self.agreement.as_ref().map(Agreement::machine)
+    /// All that the fleet has agreed on, as this voter has applied it; none where it is not a voter.
+    pub fn fleet_state(&self) -> Option<&FleetState> {
+        self.consensus.as_ref().map(Consensus::machine)
     }
 
-    pub fn agreement(&self) -> Option<&Agreement<Record>> {
-        self.agreement.as_ref()
+    /// This voter's part in the log; none where it is not a voter.
+    pub fn consensus(&self) -> Option<&Consensus<FleetState>> {
+        self.consensus.as_ref()
     }
 
-    pub fn leads(&self) -> bool {
-        self.agreement.as_ref().is_some_and(Agreement::leads)
+    /// Whether this member leads.
+    pub fn is_leader(&self) -> bool {
+        self.consensus.as_ref().is_some_and(Consensus::is_leader)
     }
 
-    /// Who leads, as far as is known here.
-    pub fn leader(&self) -> Option<&Name> {
-        let own = self.agreement.as_ref().filter(|agreement| agreement.seat().group != 0);
-        own.and_then(Agreement::leader).or_else(|| self.heard.as_ref()?.1.leader.as_ref())
+    /// Who leads, as far as this member knows.
+    pub fn leader(&self) -> Option<&ServerName> {
+        let own = self.consensus.as_ref().filter(|consensus| consensus.replica().group != 0);
+        own.and_then(Consensus::leader).or_else(|| self.last_notice.as_ref()?.1.leader.as_ref())
     }
 
-    /// The server's load, told every second or so. Without it this member says nothing of itself.
-    pub fn load(&mut self, now: Ms, digest: Digest) {
-        self.load = Some((now, digest));
-        if self.phase != Phase::Leaving {
-            self.phase = digest.phase;
+    /// Sets the server's load, every second or so. Without it this member reports nothing of itself.
+    pub fn set_load(&mut self, now: Millis, load_report: LoadReport) {
+        self.load = Some((now, load_report));
+        if self.phase != Phase::Draining {
+            self.phase = load_report.phase;
         }
     }
 
-    /// Its last digest, if it is young.
-    fn own_digest(&self, now: Ms) -> Option<Digest> {
-        let (at, digest) = self.load?;
-        (now.saturating_sub(at) <= DIGEST_OLD).then_some(Digest { phase: self.phase, ..digest })
+    /// The server's last load report, if that is recent.
+    fn own_load_report(&self, now: Millis) -> Option<LoadReport> {
+        let (at, load_report) = self.load?;
+        let is_recent = now.saturating_sub(at) <= REPORT_MAX_AGE_MILLIS;
+        is_recent.then_some(LoadReport { phase: self.phase, ..load_report })
     }
 
-    /// A message's bytes, without the length. Errors: nothing after it on that stream is to be trusted.
-    pub fn message(&mut self, bytes: &[u8], now: Ms) -> Result<(), Malformed> {
-        let message = wire::open(&self.setup.fleet, bytes).inspect_err(|_| self.malformed += 1)?;
+    /// Takes a message's bytes, without the length.
+    ///
+    /// # Errors
+    /// It cannot be read: nothing after it on that stream is to be trusted.
+    pub fn handle_message(&mut self, bytes: &[u8], now: Millis) -> Result<(), FrameError> {
+        let message = wire::decode(&self.config.fleet, bytes).inspect_err(|_| self.malformed += 1)?;
         let Message { from, body, .. } = message;
         match body {
-            Body::Swim(packet) => self.membership.packet(&packet, now),
+            Body::Swim(packet) => self.membership.handle_packet(&packet, now),
             Body::Raft { group, bytes } => {
-                if let Some(agreement) = &mut self.agreement {
-                    agreement.step(&from.name, group, &bytes);
+                if let Some(consensus) = &mut self.consensus {
+                    consensus.step(&from.name, group, &bytes);
                 }
             }
-            Body::Digest { sent, digest, seat } => {
-                self.membership.digest(&from, digest, seat, now);
-                self.notify(&from.name, sent);
+            Body::LoadReport { sent_at, load_report, replica } => {
+                self.membership.handle_load_report(&from, load_report, replica, now);
+                self.send_notice(&from.name, sent_at);
             }
-            Body::Notice(notice) => self.noticed(notice, now),
-            Body::Ask { id, hops, ask } => self.asked(from.name, id, hops, ask, now),
-            Body::Answer { id, answer } => self.answered(id, answer, now),
-            Body::Duties(kept) => self.duties_told(kept, now),
-            Body::Summary { token, summary } => self.summary_told(from.name, token, summary, now),
+            Body::Notice(notice) => self.handle_notice(notice, now),
+            Body::Request { id, hops, request } => self.handle_request(from.name, id, hops, request, now),
+            Body::Response { id, response } => self.handle_response(id, response, now),
+            Body::Duties(ownership) => self.handle_ownership(ownership, now),
+            Body::Summary { token, summary } => self.handle_summary(from.name, token, summary, now),
         }
-        self.settle(now);
+        self.process_outputs(now);
         Ok(())
     }
 
     /// Does what is due. To be called at [`Node::next_wake`] and after a pause.
-    pub fn tick(&mut self, now: Ms) {
+    pub fn tick(&mut self, now: Millis) {
         self.membership.tick(now);
-        if let Some(agreement) = &mut self.agreement {
-            agreement.tick(now);
+        if let Some(consensus) = &mut self.consensus {
+            consensus.tick(now);
         }
-        if now >= self.digest_at {
-            self.digest_at = now + DIGEST_PERIOD;
-            self.say_digest(now);
-            // Only voters are told of loads.
-            if self.agreement.is_some() {
-                let members = self.seen(now);
+        if now >= self.next_report_at {
+            self.next_report_at = now + REPORT_PERIOD_MILLIS;
+            self.send_load_report(now);
+            // Only voters receive load reports.
+            if self.consensus.is_some() {
+                let members = self.member_views(now);
                 self.headroom.observe(now, &members);
             }
         }
-        self.ask_again(now);
-        self.round(now);
-        self.keep_sessions(now);
-        self.see_to_duties(now);
-        self.settle(now);
+        self.retry_requests(now);
+        self.run_leader_round(now);
+        self.propose_renewals(now);
+        self.run_duties(now);
+        self.process_outputs(now);
     }
 
-    pub fn next_wake(&self) -> Ms {
-        let agreement = self.agreement.as_ref().map_or(Ms::MAX, Agreement::next_wake);
-        let duties = if self.setup.duties.is_some() { self.duties.next_wake() } else { Ms::MAX };
-        let duties = if self.leads() { duties.min(self.next_round()) } else { duties };
-        self.membership.next_wake().min(agreement).min(self.digest_at).min(self.asks.next_wake()).min(duties)
+    /// When something is due next.
+    pub fn next_wake(&self) -> Millis {
+        let consensus = self.consensus.as_ref().map_or(Millis::MAX, Consensus::next_wake);
+        let duties = if self.config.duties.is_some() { self.duties.next_wake() } else { Millis::MAX };
+        let round = if self.is_leader() { self.next_round() } else { Millis::MAX };
+        let wakes = [self.membership.next_wake(), consensus, self.requests.next_wake(), duties, round];
+        wakes.into_iter().fold(self.next_report_at, Millis::min)
     }
 
-    /// Something wanted on this machine; its answer comes as an effect.
-    pub fn submit(&mut self, ask: Ask, now: Ms) -> RequestId {
+    /// Sends a request of this machine to the leader; its response comes as an effect.
+    pub fn submit(&mut self, request: Request, now: Millis) -> RequestId {
         let id = self.rng.random();
-        self.submit_as(id, ask, now);
-        self.settle(now);
+        self.submit_as(id, request, now);
+        self.process_outputs(now);
         id
     }
 
-    /// Begins a fleet, or makes it anew, with this voter alone. Errors in words for the operator.
-    pub fn begin_alone(&mut self, anew: bool, now: Ms) -> Result<(), String> {
-        let known = self.membership.known().values().find(|k| k.seat.is_some_and(|seat| seat.group != 0));
-        if let (Some(other), false) = (known, anew) {
-            return Err(format!("{} already belongs to a fleet: this voter will be let in", other.me.name));
+    /// Creates a fleet with this voter alone.
+    ///
+    /// # Errors
+    /// A fleet exists, or this member cannot be its voter.
+    pub fn bootstrap(&mut self, now: Millis) -> Result<(), BootstrapError> {
+        let has_fleet = |replica: crate::member::Replica| replica.group != 0;
+        let other = self.membership.known().values().find(|known| known.replica.is_some_and(has_fleet));
+        if let Some(other) = other {
+            return Err(BootstrapError::FleetExists(other.identity.name.clone()));
         }
         let group = self.rng.random();
-        let fault = self.fault.clone();
-        let agreement = self
-            .agreement
-            .as_mut()
-            .ok_or_else(|| fault.unwrap_or_else(|| "this server is not among fleet.voters".into()))?;
-        if anew {
-            agreement.recover(group)?
-        } else {
-            agreement.found(group)?
-        }
-        self.settle(now);
+        self.voter()?.bootstrap(group)?;
+        self.process_outputs(now);
         Ok(())
     }
 
-    pub fn take(&mut self) -> Vec<Effect> {
+    /// Recreates the fleet from this voter's data directory, with this voter alone.
+    ///
+    /// # Errors
+    /// This voter never belonged to a fleet, or cannot use its data directory.
+    pub fn recover(&mut self, now: Millis) -> Result<(), BootstrapError> {
+        let group = self.rng.random();
+        self.voter()?.recover(group)?;
+        self.process_outputs(now);
+        Ok(())
+    }
+
+    fn voter(&mut self) -> Result<&mut Consensus<FleetState>, BootstrapError> {
+        let error = self.storage_error.clone();
+        let missing = || error.map_or(BootstrapError::NotAVoter, BootstrapError::StorageUnavailable);
+        self.consensus.as_mut().ok_or_else(missing)
+    }
+
+    /// What is to be done since this was last called.
+    pub fn take_effects(&mut self) -> Vec<Effect> {
         std::mem::take(&mut self.effects)
     }
 
-    fn note(&mut self, text: String) {
-        self.effects.push(Effect::Note(text));
+    fn log(&mut self, text: String) {
+        self.effects.push(Effect::Log(text));
     }
 
-    /// All members as they are seen from here, this one among them.
-    fn seen(&self, now: Ms) -> BTreeMap<Name, Seen> {
+    /// All members as they are seen from here, this one included.
+    fn member_views(&self, now: Millis) -> BTreeMap<ServerName, MemberView> {
         let others = self.membership.known().iter().map(|(name, known)| {
-            let seen = Seen {
-                zone: known.me.zone.clone(),
-                standing: known.standing(),
-                incarnation: known.me.incarnation,
-                digest: known.evidence(now),
+            let view = MemberView {
+                zone: known.identity.zone.clone(),
+                state: known.state(),
+                incarnation: known.identity.incarnation,
+                load_report: known.recent_report(now),
             };
-            (name.clone(), seen)
+            (name.clone(), view)
         });
-        let me = self.me();
-        let own = Seen {
-            zone: me.zone.clone(),
-            standing: match self.phase {
-                Phase::Cold => crate::member::Standing::Cold,
-                Phase::Serving => crate::member::Standing::Serving,
-                Phase::Leaving => crate::member::Standing::Leaving,
+        let identity = self.identity();
+        let own = MemberView {
+            zone: identity.zone.clone(),
+            state: match self.phase {
+                Phase::Cold => MemberState::Cold,
+                Phase::Serving => MemberState::Serving,
+                Phase::Draining => MemberState::Draining,
             },
-            incarnation: me.incarnation,
-            digest: self.own_digest(now),
-        };
-        others.chain([(me.name.clone(), own)]).collect()
-    }
-
-    /// Voters by the settings, but for this one.
-    fn other_voters(&self) -> Vec<Name> {
-        let names = self.setup.voters.iter().map(|(name, _)| name);
-        names.filter(|name| **name != self.setup.name).cloned().collect()
-    }
-
-    fn seat(&self) -> Option<Seat> {
-        self.agreement.as_ref().map(Agreement::seat)
-    }
-
-    fn say_digest(&mut self, now: Ms) {
-        let Some(digest) = self.own_digest(now) else { return };
-        let body = Body::Digest { sent: now, digest, seat: self.seat() };
-        for voter in self.other_voters() {
-            self.send(&voter, body.clone());
-        }
-    }
-
-    /// Tells a member what this voter knows of it.
-    fn notify(&mut self, to: &Name, sent: Ms) {
-        let Some(agreement) = self.agreement.as_ref().filter(|a| a.seat().group != 0) else { return };
-        let order = &agreement.machine().order;
-        let notice = Notice {
-            sent,
-            leader: agreement.leader().cloned(),
-            term: agreement.term(),
-            index: agreement.applied(),
-            ticket: order.holders().get(to).and_then(|id| order.open().get(id)).cloned(),
+            incarnation: identity.incarnation,
+            load_report: self.own_load_report(now),
         };
-        self.send(to, Body::Notice(notice));
+        others.chain([(identity.name.clone(), own)]).collect()
     }
 
-    fn noticed(&mut self, notice: Notice, now: Ms) {
-        // What was asked before a long stop may long be otherwise.
-        if now.saturating_sub(notice.sent) > own::FRESH {
-            return;
-        }
-        let newer = self.heard.as_ref().is_none_or(|(_, last)| {
-            (notice.term, notice.index) >= (last.term, last.index) || now > last.sent + DIGEST_OLD
-        });
-        if newer {
-            self.heard = Some((now, notice));
-        }
-    }
-
-    fn send(&mut self, to: &Name, body: Body) {
-        let told = self.membership.get(to).map(|known| known.me.address);
-        let set = || self.setup.voters.iter().find(|(name, _)| name == to).map(|(_, address)| *address);
-        if let Some(address) = told.or_else(set) {
-            self.send_to(to, address, body);
-        }
-    }
-
-    fn send_to(&mut self, to: &Name, address: SocketAddr, body: Body) {
-        let address = self.setup.via.get(to).copied().unwrap_or(address);
-        let message = Message { fleet: self.setup.fleet.clone(), from: self.me().clone(), body };
-        if let Some(bytes) = wire::seal(&message) {
-            self.effects.push(Effect::Send { to: to.clone(), address, bytes });
-        }
-    }
-
-    /// Says when the folder fails, and when it is good again.
-    fn look_at_folder(&mut self) {
-        let fault = self.agreement.as_ref().and_then(Agreement::fault).map(str::to_owned);
-        if self.agreement.is_some() && fault != self.fault {
-            self.note(match &fault {
-                Some(why) => format!("takes no part in the agreement: {why}"),
+    /// Logs when the data directory fails, and when it works again.
+    fn log_storage_errors(&mut self) {
+        let Some(consensus) = &self.consensus else { return };
+        let error = consensus.error().map(ToString::to_string);
+        if error != self.storage_error {
+            self.log(match &error {
+                Some(reason) => format!("takes no part in the agreement: {reason}"),
                 None => "takes part in the agreement again".into(),
             });
-            self.fault = fault;
+            self.storage_error = error;
         }
     }
 
-    /// Sees to all that came of what was just done.
-    fn settle(&mut self, now: Ms) {
-        self.look_at_folder();
-        for (to, packet) in self.membership.take() {
-            self.send_to(&to.name, to.address, Body::Swim(packet));
-        }
-        if let Some(agreement) = &mut self.agreement {
-            let (said, outputs) = (agreement.take(), agreement.outputs());
-            let group = agreement.seat().group;
-            for (to, bytes) in said {
+    /// Handles all that came of what was just done.
+    fn process_outputs(&mut self, now: Millis) {
+        self.log_storage_errors();
+        self.send_queued_packets();
+        if let Some(consensus) = &mut self.consensus {
+            let (messages, outputs) = (consensus.take_messages(), consensus.take_outputs());
+            let group = consensus.replica().group;
+            for (to, bytes) in messages {
                 self.send(&to, Body::Raft { group, bytes });
             }
-            let any = !outputs.is_empty();
-            for (id, answer) in outputs {
-                self.lead.came_of(id);
-                if !self.kept(id, now) {
-                    self.came_of(id, answer, now);
+            let has_applied = !outputs.is_empty();
+            for (id, response) in outputs {
+                self.leadership.proposal_applied(id);
+                if !self.renewals_applied(id, now) {
+                    self.deliver_response(id, response, now);
                 }
             }
-            if any {
-                self.tell_owners(now);
+            if has_applied {
+                self.notify_owners(now);
             }
         }
-        self.see_to_own(now);
-        // What this wanted proposed may have been agreed on at once, where one voter is all there are.
-        if self.agreement.as_mut().is_some_and(|a| a.has_news()) {
-            self.settle(now);
+        self.follow_own_ticket(now);
+        // What this proposed may have been committed at once, where there is one voter alone.
+        if self.consensus.as_ref().is_some_and(Consensus::has_output) {
+            self.process_outputs(now);
         }
     }
 }
--- /dev/null
+++ b/crates/loomflow-fleet/src/node/outgoing.rs
@@ -0,0 +1,79 @@
+//! What a member sends: load reports to the voters, notices to members, packets of the membership.
+
+use std::net::SocketAddr;
+
+use super::{Effect, Node, own_ticket};
+use crate::consensus::Consensus;
+use crate::member::{Millis, REPORT_MAX_AGE_MILLIS, Replica, ServerName};
+use crate::wire::{self, Body, Message, Notice};
+
+impl Node {
+    /// Voters by the settings, except this one.
+    pub(super) fn other_voters(&self) -> Vec<ServerName> {
+        let names = self.config.voters.iter().map(|(name, _)| name);
+        names.filter(|name| **name != self.config.name).cloned().collect()
+    }
+
+    pub(super) fn replica(&self) -> Option<Replica> {
+        self.consensus.as_ref().map(Consensus::replica)
+    }
+
+    pub(super) fn send_load_report(&mut self, now: Millis) {
+        let Some(load_report) = self.own_load_report(now) else { return };
+        let body = Body::LoadReport { sent_at: now, load_report, replica: self.replica() };
+        for voter in self.other_voters() {
+            self.send(&voter, body.clone());
+        }
+    }
+
+    /// Tells a member what this voter knows of it.
+    pub(super) fn send_notice(&mut self, to: &ServerName, sent_at: Millis) {
+        let has_fleet = |consensus: &&Consensus<_>| consensus.replica().group != 0;
+        let Some(consensus) = self.consensus.as_ref().filter(has_fleet) else { return };
+        let notice = Notice {
+            sent_at,
+            leader: consensus.leader().cloned(),
+            term: consensus.term(),
+            index: consensus.applied_index(),
+            ticket: consensus.machine().maintenance.ticket_held_by(to).cloned(),
+        };
+        self.send(to, Body::Notice(notice));
+    }
+
+    pub(super) fn handle_notice(&mut self, notice: Notice, now: Millis) {
+        // What was asked before a long stop may have changed since.
+        if now.saturating_sub(notice.sent_at) > own_ticket::MAX_NOTICE_AGE_MILLIS {
+            return;
+        }
+        let is_newer = self.last_notice.as_ref().is_none_or(|(_, last)| {
+            (notice.term, notice.index) >= (last.term, last.index)
+                || now > last.sent_at + REPORT_MAX_AGE_MILLIS
+        });
+        if is_newer {
+            self.last_notice = Some((now, notice));
+        }
+    }
+
+    pub(super) fn send(&mut self, to: &ServerName, body: Body) {
+        let announced = self.membership.get(to).map(|known| known.identity.address);
+        let configured =
+            || self.config.voters.iter().find(|(name, _)| name == to).map(|(_, address)| *address);
+        if let Some(address) = announced.or_else(configured) {
+            self.send_to(to, address, body);
+        }
+    }
+
+    fn send_to(&mut self, to: &ServerName, address: SocketAddr, body: Body) {
+        let address = self.config.via.get(to).copied().unwrap_or(address);
+        let message = Message { fleet: self.config.fleet.clone(), from: self.identity().clone(), body };
+        if let Some(bytes) = wire::encode(&message) {
+            self.effects.push(Effect::Send { to: to.clone(), address, bytes });
+        }
+    }
+
+    pub(super) fn send_queued_packets(&mut self) {
+        for (to, packet) in self.membership.take_packets() {
+            self.send_to(&to.name, to.address, Body::Swim(packet));
+        }
+    }
+}
--- /dev/null
+++ b/crates/loomflow-fleet/src/node/own_ticket.rs
@@ -0,0 +1,182 @@
+//! What a server does about a ticket of its own. It drains only on a begin that it knows to be committed, by a response or a
+//! notice that is recent by its own clock: what it receives after a long stop is asked again.
+
+use rand::RngExt;
+
+use super::{Effect, Node};
+use crate::consensus::storage::{ReplicaMetadata, Storage, StorageError, WriteBatch};
+use crate::maintenance::ticket::{GrantNumber, Refusal, Stage, Ticket, TicketId, Transition};
+use crate::maintenance::{Command, Request, Response};
+use crate::member::{Incarnation, Millis, Phase, RequestId};
+
+/// A response or notice is relied on for so long after its request, ms. A place is not freed by time once the server has begun,
+/// so this only bounds how an operator's giving it up may cross a stopped server's draining.
+pub const MAX_NOTICE_AGE_MILLIS: Millis = 2_000;
+
+/// Counts this start in the data directory of a server that is not a voter.
+///
+/// # Errors
+/// The data directory cannot be used.
+pub(super) fn count_start(
+    mut storage: Box<dyn Storage>,
+    unix_millis: u64,
+) -> Result<Incarnation, StorageError> {
+    let metadata = storage.read()?.metadata;
+    let incarnation = unix_millis.max(metadata.incarnation + 1);
+    let metadata = ReplicaMetadata { incarnation, ..metadata };
+    storage.write(&WriteBatch { metadata: Some(metadata), ..WriteBatch::default() })?;
+    Ok(incarnation)
+}
+
+/// How far this server is with a ticket of its own.
+#[derive(Default)]
+pub(super) struct OwnTicket {
+    /// The begin that has no response yet: its request, and the grant that it takes up.
+    pending_begin: Option<(RequestId, GrantNumber)>,
+    /// The ticket by which the server drains.
+    draining_by: Option<(TicketId, GrantNumber)>,
+    /// The report that it has drained, while that has no response.
+    pending_departure: Option<RequestId>,
+    /// That report is answered, or was given up.
+    pub is_departure_reported: bool,
+    /// Every request that the server took is answered.
+    pub has_drained: bool,
+}
+
+impl Node {
+    /// The ticket by which this server holds a place, as far as is known here.
+    fn own_ticket(&self, now: Millis) -> Option<Ticket> {
+        if let Some(consensus) = self.consensus.as_ref().filter(|consensus| consensus.is_leader()) {
+            return consensus.machine().maintenance.ticket_held_by(&self.config.name).cloned();
+        }
+        let (_, notice) = self.last_notice.as_ref()?;
+        let is_recent = now.saturating_sub(notice.sent_at) <= MAX_NOTICE_AGE_MILLIS;
+        is_recent.then(|| notice.ticket.clone())?
+    }
+
+    /// Takes up a grant, or drains on a begin that is committed.
+    pub(super) fn follow_own_ticket(&mut self, now: Millis) {
+        if self.phase == Phase::Draining {
+            return;
+        }
+        let Some(ticket) = self.own_ticket(now) else { return };
+        if ticket.incarnation != self.identity().incarnation {
+            return;
+        }
+        let is_new_grant = self.own_ticket.pending_begin.is_none_or(|(_, grant)| grant != ticket.grant);
+        match ticket.stage {
+            Stage::Granted if is_new_grant => {
+                let id = self.report_transition(ticket.id, ticket.grant, Transition::Begin, now);
+                self.own_ticket.pending_begin = Some((id, ticket.grant));
+            }
+            // Committed, and the response was lost; or the server was declared dead before it received it.
+            Stage::Begun | Stage::Draining | Stage::Out | Stage::Overdue => {
+                self.drain_by_ticket(ticket.id, ticket.grant, now);
+            }
+            _ => {}
+        }
+    }
+
+    /// Handles the response to a transition of this server's own ticket; true where it was one.
+    pub(super) fn handle_ticket_response(
+        &mut self,
+        id: RequestId,
+        response: &Response,
+        sent_at: Millis,
+        now: Millis,
+    ) -> bool {
+        if self.own_ticket.pending_departure == Some(id) {
+            self.own_ticket.pending_departure = None;
+            self.own_ticket.is_departure_reported = true;
+            return true;
+        }
+        let pending = self.own_ticket.pending_begin.filter(|(begin, _)| *begin == id);
+        let Some((_, grant)) = pending else { return false };
+        let is_recent = now.saturating_sub(sent_at) <= MAX_NOTICE_AGE_MILLIS;
+        match response {
+            Response::Done(tickets) if is_recent => {
+                if let Some(ticket) = tickets.first() {
+                    self.drain_by_ticket(*ticket, grant, now);
+                }
+            }
+            // Late, or nothing is known: what a recent notice shows is asked again.
+            Response::Done(_) | Response::Refused(Refusal::NoLeader) => {
+                self.own_ticket.pending_begin = None;
+            }
+            Response::Refused(refusal) => self.log(format!("a grant was not taken up: {refusal}")),
+            _ => {}
+        }
+        true
+    }
+
+    fn drain_by_ticket(&mut self, ticket: TicketId, grant: GrantNumber, now: Millis) {
+        self.phase = Phase::Draining;
+        self.own_ticket.draining_by = Some((ticket, grant));
+        self.effects.push(Effect::Drain(ticket));
+        self.log(format!("ticket {ticket}: begun, this server leaves for work"));
+        self.report_transition(ticket, grant, Transition::Drain, now);
+        self.hand_everything_over(now);
+    }
+
+    /// The server was told from outside to shut down, and obeys. Counted where it has no ticket for it.
+    pub fn begin_drain(&mut self, now: Millis) {
+        if self.phase == Phase::Draining {
+            return;
+        }
+        self.phase = Phase::Draining;
+        let command = Command::DrainedWithoutTicket(self.config.name.clone());
+        let request = Request::Execute { issuer: self.issuer(), command };
+        self.submit(request, now);
+        self.hand_everything_over(now);
+        self.process_outputs(now);
+    }
+
+    /// Duties and leadership go to others, who learn at once that this server drains.
+    fn hand_everything_over(&mut self, now: Millis) {
+        self.release_all_duties(now);
+        self.transfer_leadership();
+        self.send_load_report(now);
+    }
+
+    /// Every request that the server took is answered. Reports that it is out; [`Node::is_finished`] tells when that is done.
+    pub fn drained(&mut self, now: Millis) {
+        self.phase = Phase::Draining;
+        self.own_ticket.has_drained = true;
+        self.send_load_report(now);
+        self.end_session_when_idle(now);
+        match self.own_ticket.draining_by {
+            Some((ticket, grant)) => {
+                let id = self.report_transition(ticket, grant, Transition::Depart, now);
+                self.own_ticket.pending_departure = Some(id);
+            }
+            None => self.own_ticket.is_departure_reported = true,
+        }
+        self.process_outputs(now);
+    }
+
+    /// Whether the process may exit with nothing left to report.
+    pub fn is_finished(&self) -> bool {
+        self.own_ticket.is_departure_reported && self.duties.is_session_ended()
+    }
+
+    /// Leaves the membership; the last thing before the process exits.
+    pub fn leave(&mut self, now: Millis) {
+        self.membership.leave(now);
+        self.process_outputs(now);
+    }
+
+    fn report_transition(
+        &mut self,
+        ticket: TicketId,
+        grant: GrantNumber,
+        transition: Transition,
+        now: Millis,
+    ) -> RequestId {
+        let incarnation = self.identity().incarnation;
+        let command = Command::Transition { ticket, transition, grant, incarnation };
+        let request = Request::Execute { issuer: self.issuer(), command };
+        let id = self.rng.random();
+        self.submit_as(id, request, now);
+        id
+    }
+}
--- /dev/null
+++ b/crates/loomflow-fleet/src/node/requests.rs
@@ -0,0 +1,186 @@
+//! Requests on their way to the leader, and responses on their way back. A request is retried under its id until it is answered
+//! or times out, and the log applies it once.
+
+use std::collections::BTreeMap;
+
+use super::{Effect, Node};
+use crate::consensus::ProposeError;
+use crate::duty;
+use crate::maintenance::ticket::Refusal;
+use crate::maintenance::{Command, Entry, Request, Response};
+use crate::member::{Millis, RequestId, ServerName};
+use crate::wire::Body;
+
+/// A request without a response is sent again after this, to another voter, ms.
+const RETRY_AFTER_MILLIS: Millis = 700;
+/// A request without a response fails after this, ms.
+pub const REQUEST_TIMEOUT_MILLIS: Millis = 10_000;
+/// Requests of others that are remembered until their response comes.
+const MAX_FORWARDED: usize = 4_096;
+/// Requests of our own at once.
+const MAX_OWN: usize = 1_024;
+
+/// A request of our own.
+struct PendingRequest {
+    request: Request,
+    retry_at: Millis,
+    expires_at: Millis,
+    attempts: usize,
+}
+
+/// Where a response is to go.
+struct ReturnAddress {
+    member: ServerName,
+    expires_at: Millis,
+}
+
+/// Requests that have no response yet.
+#[derive(Default)]
+pub(super) struct PendingRequests {
+    own: BTreeMap<RequestId, PendingRequest>,
+    forwarded: BTreeMap<RequestId, ReturnAddress>,
+}
+
+impl PendingRequests {
+    /// When something is due next.
+    pub fn next_wake(&self) -> Millis {
+        let wakes = self.own.values().map(|pending| pending.retry_at.min(pending.expires_at));
+        wakes.min().unwrap_or(Millis::MAX)
+    }
+}
+
+impl Node {
+    pub(super) fn submit_as(&mut self, id: RequestId, request: Request, now: Millis) {
+        if self.requests.own.len() >= MAX_OWN {
+            let refusal = Refusal::TooMany(MAX_OWN as u32);
+            self.effects.push(Effect::Responded(id, Response::Refused(refusal)));
+            return;
+        }
+        let expires_at = now + REQUEST_TIMEOUT_MILLIS;
+        let pending = PendingRequest { request, retry_at: now, expires_at, attempts: 0 };
+        self.requests.own.insert(id, pending);
+        self.send_request(id, now);
+    }
+
+    /// The response to a request of our own is no longer wanted.
+    pub(super) fn cancel_request(&mut self, id: RequestId) {
+        self.requests.own.remove(&id);
+    }
+
+    /// Sends requests again that have no response, and fails those that timed out.
+    pub(super) fn retry_requests(&mut self, now: Millis) {
+        let due: Vec<(RequestId, bool)> = self
+            .requests
+            .own
+            .iter()
+            .filter(|(_, pending)| now >= pending.retry_at || now >= pending.expires_at)
+            .map(|(id, pending)| (*id, now >= pending.expires_at))
+            .collect();
+        for (id, has_expired) in due {
+            if has_expired {
+                self.handle_response(id, Response::Refused(Refusal::NoLeader), now);
+            } else {
+                self.send_request(id, now);
+            }
+        }
+        self.requests.forwarded.retain(|_, address| address.expires_at > now);
+    }
+
+    fn send_request(&mut self, id: RequestId, now: Millis) {
+        let leader = self.leader().cloned();
+        let Some(pending) = self.requests.own.get_mut(&id) else { return };
+        pending.retry_at = now + RETRY_AFTER_MILLIS;
+        pending.attempts += 1;
+        let (request, attempts) = (pending.request.clone(), pending.attempts);
+        if self.is_leader() {
+            let name = self.config.name.clone();
+            return self.handle_request(name, id, 0, request, now);
+        }
+        let others = self.other_voters();
+        // The leader first; then the voters in turn, as what is known of the leader may be outdated.
+        let to = match leader.filter(|_| attempts % 2 == 1) {
+            Some(leader) if leader != self.config.name => Some(leader),
+            _ => others.get((attempts / 2) % others.len().max(1)).cloned(),
+        };
+        if let Some(to) = to {
+            self.send(&to, Body::Request { id, hops: 0, request });
+        }
+    }
+
+    /// Handles another member's request, or one of our own where this member leads.
+    pub(super) fn handle_request(
+        &mut self,
+        from: ServerName,
+        id: RequestId,
+        hops: u8,
+        request: Request,
+        now: Millis,
+    ) {
+        if self.requests.forwarded.len() < MAX_FORWARDED {
+            let expires_at = now + REQUEST_TIMEOUT_MILLIS;
+            self.requests.forwarded.insert(id, ReturnAddress { member: from, expires_at });
+        }
+        if self.is_leader() {
+            self.execute_request(id, request, now);
+        } else if hops == 0
+            && let Some(leader) = self.leader().cloned().filter(|leader| *leader != self.config.name)
+        {
+            self.send(&leader, Body::Request { id, hops: 1, request });
+        }
+    }
+
+    /// The leader's part: commands are proposed, everything else is answered at once.
+    fn execute_request(&mut self, id: RequestId, request: Request, now: Millis) {
+        match request {
+            Request::Execute { command: Command::Duty(duty::Command::KeepAlive(instances)), .. } => {
+                self.queue_renewal(id, instances, now);
+            }
+            Request::Execute { issuer, mut command } => {
+                if let Command::Duty(duty::Command::Release { duty, successor, .. }) = &mut command {
+                    *successor = self.choose_successor(duty, now);
+                }
+                let entry = Entry { id, at: self.fleet_time(now), issuer, command };
+                // What is not taken now is sent again by whoever wants it.
+                if self.propose(&entry) == Err(ProposeError::NotLeader) {
+                    self.requests.forwarded.remove(&id);
+                }
+            }
+            query => {
+                if let Some(response) = self.answer_query(&query, now) {
+                    self.deliver_response(id, response, now);
+                }
+            }
+        }
+    }
+
+    /// Sends a response to whoever sent the request.
+    pub(super) fn deliver_response(&mut self, id: RequestId, response: Response, now: Millis) {
+        match self.requests.forwarded.remove(&id) {
+            Some(address) if address.member != self.config.name => {
+                self.send(&address.member, Body::Response { id, response });
+            }
+            _ => self.handle_response(id, response, now),
+        }
+    }
+
+    /// Handles a response: to a request of our own, or to pass on.
+    pub(super) fn handle_response(&mut self, id: RequestId, response: Response, now: Millis) {
+        if let Some(pending) = self.requests.own.remove(&id) {
+            let sent_at = pending.expires_at - REQUEST_TIMEOUT_MILLIS;
+            if !self.handle_ticket_response(id, &response, sent_at, now)
+                && !self.handle_duty_response(id, &response, sent_at, now)
+            {
+                self.effects.push(Effect::Responded(id, response));
+            }
+        } else if let Some(address) = self.requests.forwarded.remove(&id)
+            && address.member != self.config.name
+        {
+            self.send(&address.member, Body::Response { id, response });
+        }
+    }
+
+    pub(super) fn propose(&mut self, entry: &Entry) -> Result<(), ProposeError> {
+        let Some(consensus) = &mut self.consensus else { return Err(ProposeError::NotLeader) };
+        consensus.propose(postcard::to_stdvec(entry).map_err(|_| ProposeError::Dropped)?)
+    }
+}
--- a/crates/loomflow-fleet/src/node/status.rs
+++ b/crates/loomflow-fleet/src/node/status.rs
@@ -1,93 +1,109 @@
-//! What is told of the fleet to whoever asks.
+//! What operators are told of the fleet.
 
 use super::Node;
-use crate::agreement::Agreement;
-use crate::member::{Ms, Standing};
-use crate::order::choose::View;
-use crate::order::state::Order;
-use crate::order::{Answer, Ask, MemberRow, Status};
+use crate::consensus::Consensus;
+use crate::duty;
+use crate::maintenance::scheduling::{Explanation, SchedulerView};
+use crate::maintenance::state::MaintenanceState;
+use crate::maintenance::ticket::Stage;
+use crate::maintenance::{MemberRow, Request, Response, Status};
+use crate::member::{MemberState, MemberView, Millis, ServerName};
 
-/// Tickets told at once; a fleet's worth of open ones and the last that are over.
-const MOST_TOLD: usize = 12_000;
-/// Things that happened that are told at once.
-const MOST_EVENTS_TOLD: usize = 500;
+/// Most open tickets in one response.
+const MAX_OPEN_IN_RESPONSE: usize = 12_000;
+/// Most closed tickets, and most events, in one response.
+const MAX_HISTORY_IN_RESPONSE: usize = 500;
 
 impl Node {
-    /// The answer to a question, as far as this one knows. None where it knows nothing of the order.
-    pub fn read(&self, ask: &Ask, now: Ms) -> Option<Answer> {
-        match ask {
-            Ask::Do { .. } => None,
-            Ask::Status => Some(Answer::Status(Box::new(self.status(now)))),
-            Ask::Tickets => {
-                let order = self.order()?;
-                Some(Answer::Tickets {
-                    open: order.open().values().take(MOST_TOLD).cloned().collect(),
-                    over: order.over().rev().take(MOST_EVENTS_TOLD).cloned().collect(),
-                    events: order.events().rev().take(MOST_EVENTS_TOLD).cloned().collect(),
+    /// The response to a query, as far as this member knows. None where it knows nothing of it.
+    pub fn answer_query(&self, request: &Request, now: Millis) -> Option<Response> {
+        match request {
+            Request::Execute { .. } => None,
+            Request::Status => Some(Response::Status(Box::new(self.status(now)))),
+            Request::Tickets => {
+                let maintenance = self.maintenance()?;
+                let closed = maintenance.closed().rev().take(MAX_HISTORY_IN_RESPONSE);
+                let events = maintenance.events().rev().take(MAX_HISTORY_IN_RESPONSE);
+                Some(Response::Tickets {
+                    open: maintenance.open().values().take(MAX_OPEN_IN_RESPONSE).cloned().collect(),
+                    closed: closed.cloned().collect(),
+                    events: events.cloned().collect(),
                 })
             }
-            Ask::Duties => {
-                let listed = self.record()?.duties.list();
-                Some(Answer::Duty(crate::duty::Answer::List(Box::new(listed))))
+            Request::Duties => {
+                let list = self.fleet_state()?.duties.list();
+                Some(Response::Duty(duty::Response::List(Box::new(list))))
             }
-            Ask::Campaigns => {
-                let record = self.record()?;
-                Some(Answer::Campaigns(record.campaigns.views(&record.order, &self.seen(now))))
-            }
-            Ask::Explain(server) => {
-                let (order, members) = (self.order()?, self.seen(now));
-                let leader = self.setup.name.as_str();
-                let now = self.fleet_now(now);
-                let view = View { order, members: &members, headroom: &self.headroom, now, leader };
-                Some(Answer::Explained(view.explain(server)))
+            Request::Campaigns => {
+                let state = self.fleet_state()?;
+                let views = state.campaigns.views(&state.maintenance, &self.member_views(now));
+                Some(Response::Campaigns(views))
             }
+            Request::Explain(server) => Some(Response::Explanation(self.explain(server, now)?)),
         }
     }
 
-    /// The fleet as it is seen from here; `fresh` only where this one leads.
-    pub fn status(&self, now: Ms) -> Status {
-        let empty = Order::default();
-        let order = self.order().unwrap_or(&empty);
-        let held = |name: &str| {
-            let id = order.holders().get(name)?;
-            Some((*id, order.open().get(id)?.stage))
+    fn explain(&self, server: &str, now: Millis) -> Option<Explanation> {
+        let view = SchedulerView {
+            maintenance: self.maintenance()?,
+            members: &self.member_views(now),
+            headroom: &self.headroom,
+            now: self.fleet_time(now),
+            leader: &self.config.name,
         };
-        let voters = self.agreement.as_ref().map(Agreement::voters).unwrap_or_default();
-        let members = self.seen(now).into_iter().map(|(name, seen)| {
-            let known = self.membership.get(&name);
-            let told = known.map_or(self.load, |known| known.digest);
-            let ticket = held(&name);
-            let out = ticket.is_some_and(|(_, stage)| !matches!(stage, crate::order::ticket::Stage::Granted));
-            let gone = matches!(seen.standing, Standing::Down | Standing::Gone);
-            MemberRow {
-                zone: seen.zone,
-                address: known.map_or(self.setup.address, |known| known.me.address).to_string(),
-                incarnation: seen.incarnation,
-                standing: if out && gone { Standing::Out } else { seen.standing },
-                voter: voters.contains(&name),
-                digest: told.map(|(_, digest)| digest),
-                age: told.map(|(at, _)| now.saturating_sub(at)),
-                ticket,
-                name,
-            }
-        });
+        Some(view.explain(server))
+    }
+
+    /// The fleet as this member sees it; from the leader only where this one leads.
+    pub fn status(&self, now: Millis) -> Status {
+        let empty = MaintenanceState::default();
+        let maintenance = self.maintenance().unwrap_or(&empty);
+        let voters = self.consensus.as_ref().map(Consensus::voters).unwrap_or_default();
+        let members = self.member_views(now).into_iter();
+        let members = members.map(|(name, view)| self.member_row(name, view, maintenance, &voters, now));
         Status {
-            fleet: self.setup.fleet.clone(),
+            fleet: self.config.fleet.clone(),
             leader: self.leader().cloned(),
-            term: self.agreement.as_ref().map_or(0, Agreement::term),
-            index: self.agreement.as_ref().map_or(0, Agreement::applied),
-            voters: voters.clone(),
-            fresh: self.leads(),
+            term: self.consensus.as_ref().map_or(0, Consensus::term),
+            index: self.consensus.as_ref().map_or(0, Consensus::applied_index),
             members: members.collect(),
-            rules: order.rules().cloned().unwrap_or_else(|| self.setup.rules.clone()),
-            paused: order.paused().map(str::to_owned),
-            open: order.open().len() as u32,
-            out: order.holders().len() as u32,
-            unasked: order.unasked(),
-            time: order.time(),
-            fault: self.fault.clone(),
-            summary: self.told(now),
-            refused: self.refused(),
+            voters: voters.clone(),
+            is_from_leader: self.is_leader(),
+            rules: maintenance.rules().cloned().unwrap_or_else(|| self.config.rules.clone()),
+            paused: maintenance.paused().map(str::to_owned),
+            open: maintenance.open().len() as u32,
+            out: maintenance.holders().len() as u32,
+            drains_without_ticket: maintenance.drains_without_ticket(),
+            time: maintenance.time(),
+            storage_error: self.storage_error.clone(),
+            summary: self.summary_report(now),
+            refused_messages: self.refused_messages(),
+        }
+    }
+
+    fn member_row(
+        &self,
+        name: ServerName,
+        view: MemberView,
+        maintenance: &MaintenanceState,
+        voters: &[ServerName],
+        now: Millis,
+    ) -> MemberRow {
+        let known = self.membership.get(&name);
+        let last_report = known.map_or(self.load, |known| known.load_report);
+        let ticket = maintenance.ticket_held_by(&name).map(|ticket| (ticket.id, ticket.stage));
+        let has_begun = ticket.is_some_and(|(_, stage)| stage != Stage::Granted);
+        let is_out = has_begun && !view.is_alive();
+        MemberRow {
+            zone: view.zone,
+            address: known.map_or(self.config.address, |known| known.identity.address).to_string(),
+            incarnation: view.incarnation,
+            state: if is_out { MemberState::Out } else { view.state },
+            is_voter: voters.contains(&name),
+            load_report: last_report.map(|(_, report)| report),
+            report_age_millis: last_report.map(|(at, _)| now.saturating_sub(at)),
+            ticket,
+            name,
         }
     }
 }
--- a/crates/loomflow-fleet/src/operator.rs
+++ b/crates/loomflow-fleet/src/operator.rs
@@ -1,49 +1,70 @@
-//! What an operator's command says to the server on its machine, and hears: one value a line, as JSON.
+//! Requests and responses on the operators' socket: one value a line, as JSON.
 
 use serde::{Deserialize, Serialize};
 
-use crate::duty::{DutyName, Terms, Token};
-use crate::order::{Answer, Ask, Status};
+use crate::duty::{DutyName, LeaseSettings, Token};
+use crate::maintenance::{Request, Response, Status};
+use crate::member::Millis;
 
 /// The longest line, bytes: a campaign over as many servers as there may be.
-pub const LONGEST_LINE: usize = 4 * 1024 * 1024;
+pub const MAX_LINE_BYTES: usize = 4 * 1024 * 1024;
 
+/// What a command line asks the server on its machine.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Say {
+pub enum OperatorRequest {
     /// For the leader, wherever it is.
-    Fleet(Ask),
+    Fleet(Request),
     /// What this server knows by itself, with a leader or without.
-    Here,
-    /// Begin a fleet with this voter.
-    Found,
-    /// Make the fleet anew from what this voter's folder holds.
+    #[serde(rename = "Here")]
+    LocalStatus,
+    /// Create a fleet with this voter alone.
+    #[serde(rename = "Found")]
+    Bootstrap,
+    /// Recreate the fleet from this voter's data directory.
     Recover,
-    /// Whether this server owns a duty. Asked again and again by whoever does its work: it counts as at work until it says
-    /// that it has let go, or is no longer heard.
-    Owns(DutyName),
-    /// Whoever did its work has ended.
-    LetGo(DutyName),
+    /// Whether this server owns a duty. Sent again and again by the process that does the duty's work: that process counts as
+    /// running until it sends [`OperatorRequest::WorkEnded`], or is silent for too long.
+    #[serde(rename = "Owns")]
+    CheckOwnership(DutyName),
+    /// The process that did the duty's work has ended.
+    #[serde(rename = "LetGo")]
+    WorkEnded(DutyName),
 }
 
-/// What a server owns at this moment.
+/// A duty that the server owns at this moment.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Owned {
+pub struct OwnedDuty {
+    /// The owner's fencing token.
     pub token: Token,
-    /// So long it is surely its own, ms.
-    pub left: u64,
-    /// It is to hand it over.
-    pub recalled: bool,
-    pub terms: Terms,
+    /// The lease is valid for at least so long from when the request was sent, ms.
+    #[serde(rename = "left")]
+    pub remaining_millis: Millis,
+    /// The owner has been asked to release it.
+    #[serde(rename = "recalled")]
+    pub is_recalled: bool,
+    /// The lease settings of the fleet.
+    #[serde(rename = "terms")]
+    pub lease_settings: LeaseSettings,
+    /// What the last owner wrote for the next one.
     pub checkpoint: Vec<u8>,
 }
 
+/// The server's answer to an [`OperatorRequest`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Hear {
-    Answer(Answer),
-    Here(Box<Status>),
+pub enum OperatorResponse {
+    /// The leader's response, or that it could not be reached.
+    #[serde(rename = "Answer")]
+    Response(Response),
+    /// The fleet as this server sees it.
+    #[serde(rename = "Here")]
+    LocalStatus(Box<Status>),
+    /// Done, with nothing to report.
     Done,
-    Owned(Owned),
+    /// The server owns the duty.
+    Owned(OwnedDuty),
+    /// The server does not own the duty, or cannot be sure of it.
     NotOwned,
-    /// In words.
-    Fault(String),
+    /// What went wrong, in words.
+    #[serde(rename = "Fault")]
+    Error(String),
 }
--- /dev/null
+++ b/crates/loomflow-fleet/tests/maintenance.rs
@@ -0,0 +1,146 @@
+//! The order's machine under generated entries, in any order and of any sense: what must hold does.
+
+use loomflow_fleet::consensus::StateMachine;
+use loomflow_fleet::maintenance::rules::{Limit, Rules};
+use loomflow_fleet::maintenance::state::{
+    MAX_CLOSED_TICKETS, MAX_EVENTS, MAX_OPEN_TICKETS, MaintenanceState,
+};
+use loomflow_fleet::maintenance::ticket::{Refusal, Stage, TicketRequest, Transition, Urgency};
+use loomflow_fleet::maintenance::{Census, Command, Entry, Issuer, Response};
+use proptest::prelude::*;
+
+const SERVERS: usize = 6;
+
+fn wanted(server: usize) -> TicketRequest {
+    TicketRequest {
+        server: format!("n{server}"),
+        zone: format!("z{}", server % 2),
+        reason: "test".into(),
+        urgency: Urgency::Routine,
+        duration_millis: 20_000,
+        window: (server == 5).then_some((1_000, 30_000)),
+    }
+}
+
+fn census(away: &[usize]) -> Census {
+    let zone = |server: usize| format!("z{}", server % 2);
+    Census {
+        zones: vec![("z0".into(), 3), ("z1".into(), 3)],
+        away: away.iter().map(|server| (format!("n{server}"), zone(*server))).collect(),
+    }
+}
+
+fn issuer() -> impl Strategy<Value = Issuer> {
+    prop_oneof![
+        Just(Issuer::Leader),
+        Just(Issuer::Operator("ops".into())),
+        (0..SERVERS, 1u64..4)
+            .prop_map(|(n, incarnation)| Issuer::Server { name: format!("n{n}"), incarnation }),
+    ]
+}
+
+fn command() -> impl Strategy<Value = Command> {
+    let moves = (1u64..12, proptest::sample::select(Transition::ALL.to_vec()), 0u64..12, 1u64..4);
+    let away = proptest::collection::vec(0..SERVERS, 0..2);
+    prop_oneof![
+        2 => (0..SERVERS).prop_map(|n| Command::CreateTickets(vec![wanted(n)])),
+        8 => moves.prop_map(|(ticket, transition, grant, incarnation)| Command::Transition { ticket, transition, grant, incarnation }),
+        4 => (1u64..12, 1u64..4, away).prop_map(|(ticket, incarnation, away)| {
+            Command::Grant { ticket, incarnation, census: census(&away) }
+        }),
+        1 => Just(Command::Clock),
+        1 => prop_oneof![Just(Command::Pause("x".into())), Just(Command::Resume)],
+    ]
+}
+
+fn put(maintenance: &mut MaintenanceState, entry: &Entry) -> Option<Response> {
+    maintenance.apply(&postcard::to_stdvec(entry).unwrap()).map(|(_, response)| response)
+}
+
+/// A machine with voters and room for two, one of them in each zone.
+fn machine() -> MaintenanceState {
+    let mut maintenance = MaintenanceState::default();
+    maintenance.set_voters(vec!["n0".into(), "n1".into(), "n2".into()]);
+    let rules =
+        Rules { max_out: Limit::Count(2), max_out_per_zone: Some(Limit::Count(1)), ..Rules::default() };
+    put(
+        &mut maintenance,
+        &Entry { id: u128::MAX, at: 0, issuer: Issuer::Leader, command: Command::Rules(rules) },
+    );
+    maintenance
+}
+
+proptest! {
+    #[test]
+    fn no_entries_break_the_budget_or_what_is_kept(
+        entries in proptest::collection::vec((issuer(), command(), 0u64..8_000), 1..120),
+    ) {
+        let (mut maintenance, mut at) = (machine(), 0);
+        for (number, (issuer, command, passed)) in entries.into_iter().enumerate() {
+            at += passed;
+            let time = maintenance.time();
+            let entry = Entry { id: number as u128, at, issuer, command };
+            let response = put(&mut maintenance, &entry);
+            prop_assert!(maintenance.time() >= time, "time goes on");
+            // Each server holds at most one place; of each zone at most one is out, of the voters at most one.
+            let holders: Vec<&str> = maintenance.holders().keys().map(String::as_str).collect();
+            prop_assert!(holders.len() <= 2, "{holders:?}");
+            let held = maintenance.open().values().filter(|ticket| ticket.stage.holds_place()).count();
+            prop_assert_eq!(held, holders.len());
+            for zone in ["z0", "z1"] {
+                let here = maintenance.holders().values().filter(|id| maintenance.open()[*id].request.zone == zone).count();
+                prop_assert!(here <= 1, "{zone}");
+            }
+            let voters = holders.iter().filter(|name| ["n0", "n1", "n2"].contains(name)).count();
+            prop_assert!(voters <= 1, "{holders:?}");
+            // A repeat gets the same and does nothing.
+            if !matches!(entry.issuer, Issuer::Leader) {
+                let before = maintenance.save();
+                prop_assert_eq!(put(&mut maintenance, &entry), response);
+                prop_assert_eq!(before, maintenance.save());
+            }
+            // What is read back is the same, and goes on the same.
+            let mut back = MaintenanceState::load(&maintenance.save()).unwrap();
+            prop_assert_eq!(back.holders(), maintenance.holders());
+            prop_assert_eq!(back.next_deadline(), maintenance.next_deadline());
+            let later = Entry { id: 1 << 100, at: at + 50_000, issuer: Issuer::Leader, command: Command::Clock };
+            put(&mut back, &later);
+            let mut same = maintenance.clone();
+            put(&mut same, &later);
+            prop_assert_eq!(back.save(), same.save());
+        }
+    }
+
+    #[test]
+    fn no_bytes_make_it_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let mut maintenance = machine();
+        let _ = maintenance.apply(&bytes);
+        let _ = MaintenanceState::load(&bytes);
+    }
+}
+
+#[test]
+fn ten_thousand_asked_at_once_are_taken_and_what_is_beyond_the_bound_is_refused_whole() {
+    let many = |from: usize, count: usize| Command::CreateTickets((from..from + count).map(wanted).collect());
+    let ask = |id, command| Entry { id, at: 0, issuer: Issuer::Operator("ops".into()), command };
+    let mut maintenance = machine();
+    match put(&mut maintenance, &ask(1, many(0, 10_000))) {
+        Some(Response::Done(tickets)) => assert_eq!(tickets.len(), 10_000),
+        other => panic!("{other:?}"),
+    }
+    let refused = put(&mut maintenance, &ask(2, many(20_000, 3_000)));
+    assert_eq!(refused, Some(Response::Refused(Refusal::TooMany(10_000))));
+    assert_eq!(maintenance.open().len(), 10_000);
+    assert!(maintenance.events().count() <= MAX_EVENTS && MAX_OPEN_TICKETS >= 10_000);
+    let back = MaintenanceState::load(&maintenance.save()).unwrap();
+    assert_eq!(back.open(), maintenance.open());
+    // All withdrawn: the history is bounded.
+    for id in 1..=10_000u64 {
+        let withdraw =
+            Command::Transition { ticket: id, transition: Transition::Withdraw, grant: 0, incarnation: 0 };
+        put(&mut maintenance, &ask(u128::from(id) + 10, withdraw));
+    }
+    assert_eq!((maintenance.open().len(), maintenance.closed().count()), (0, MAX_CLOSED_TICKETS));
+    assert!(maintenance.closed().all(|ticket| ticket.stage == Stage::Withdrawn));
+    assert!(maintenance.save().len() < 1 << 20, "{}", maintenance.save().len());
+}
--- a/crates/loomflow-fleet/tests/owners.rs
+++ b/crates/loomflow-fleet/tests/ownership_model.rs
@@ -6,10 +6,10 @@
 use std::collections::BTreeSet;
 use std::hash::{Hash, Hasher};
 
+use loomflow_fleet::duty::client_session::ClientSession;
 use loomflow_fleet::duty::fence::Fence;
 use loomflow_fleet::duty::state::Duties;
-use loomflow_fleet::duty::tenure::Tenure;
-use loomflow_fleet::duty::{Command, Declared, Holder, Kept, Terms, Token};
+use loomflow_fleet::duty::{Command, DutySpec, LeaseSettings, Ownership, ServerInstance, Token};
 use stateright::{Checker, Model, Property};
 
 const SERVERS: usize = 2;
@@ -18,14 +18,14 @@
 const STEP: u64 = 50;
 const STEPS: u64 = 3;
 /// Words that keep a session, for each server, beside the one that began it.
-const ASKS: u8 = 1;
+const RENEWALS: u8 = 1;
 /// Duties given, and changes of the leader.
 const GIVEN: u8 = 2;
 const LEADERS: u8 = 1;
 const DUTY: &str = "d";
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-enum Word {
+enum Message {
     /// From a server: it is here, said at that time.
     Here { server: usize, at: u64 },
     /// To a server: what it owns, in answer to a word of that time.
@@ -44,10 +44,10 @@
     counted: Token,
     /// The token of the lease as it is told.
     told: Token,
-    servers: [(Tenure, Option<Token>); SERVERS],
+    servers: [(ClientSession, Option<Token>); SERVERS],
     /// All that was said and may be heard at any time, any number of times.
-    said: BTreeSet<Word>,
-    asks: [u8; SERVERS],
+    sent: BTreeSet<Message>,
+    renewals: [u8; SERVERS],
     given: u8,
     leaders: u8,
     fence: Fence,
@@ -59,28 +59,29 @@
 type Shown<'a> = (u64, Vec<(String, u64, u64, u64)>, Option<(&'a str, Token)>, Token, u64);
 
 impl State {
-    fn fleet_now(&self) -> u64 {
+    fn fleet_time(&self) -> u64 {
         self.duties.time().max(self.leads.1 + self.now - self.leads.0)
     }
 
     /// What of the record matters for what may still happen: its history does not.
     fn shown(&self) -> Shown<'_> {
         let sessions = self.duties.sessions().iter();
-        let sessions = sessions.map(|(name, s)| (name.clone(), s.id, s.incarnation, s.expires)).collect();
+        let sessions = sessions.map(|(name, s)| (name.clone(), s.id, s.incarnation, s.expires_at)).collect();
         let lease =
             self.duties.duties()[DUTY].lease.as_ref().map(|lease| (lease.owner.as_str(), lease.token));
-        (self.duties.time(), sessions, lease, self.duties.last_token(), self.fence.seen(DUTY))
+        (self.duties.time(), sessions, lease, self.duties.last_token(), self.fence.highest_token(DUTY))
     }
 
     #[allow(clippy::type_complexity)]
     fn rest(
         &self,
-    ) -> (u64, (u64, u64), (Token, Token), &[(Tenure, Option<Token>); SERVERS], &BTreeSet<Word>) {
-        (self.now, self.leads, (self.counted, self.told), &self.servers, &self.said)
+    ) -> (u64, (u64, u64), (Token, Token), &[(ClientSession, Option<Token>); SERVERS], &BTreeSet<Message>)
+    {
+        (self.now, self.leads, (self.counted, self.told), &self.servers, &self.sent)
     }
 
     fn counts(&self) -> ([u8; SERVERS], u8, u8, Token, bool) {
-        (self.asks, self.given, self.leaders, self.highest, self.harmed)
+        (self.renewals, self.given, self.leaders, self.highest, self.harmed)
     }
 }
 
@@ -99,8 +100,8 @@
 #[derive(Clone, Debug, PartialEq)]
 enum Action {
     Time,
-    Ask(usize),
-    Hear(Word),
+    Request(usize),
+    Deliver(Message),
     Give(usize),
     NewLeader,
     /// It makes sure that it owns the duty, and acts on that later.
@@ -124,19 +125,19 @@
 
 struct Owners(Fault);
 
-fn kept(session: u64, token: Token) -> Kept {
+fn ownership(session: u64, token: Token) -> Ownership {
     let grant = loomflow_fleet::duty::Grant {
         duty: DUTY.into(),
         token,
-        recalled: false,
+        is_recalled: false,
         checkpoint: Vec::new(),
         last_run: 0,
-        unended: false,
-        wanted: false,
+        has_unfinished_run: false,
+        is_run_requested: false,
         schedule: None,
     };
-    let held = if token > 0 { vec![grant] } else { Vec::new() };
-    Kept { session, terms: Terms { lease: LEASE, attempts: 99 }, held }
+    let grants = if token > 0 { vec![grant] } else { Vec::new() };
+    Ownership { session, lease_settings: LeaseSettings { lease_millis: LEASE, max_attempts: 99 }, grants }
 }
 
 fn name(server: usize) -> String {
@@ -144,8 +145,8 @@
 }
 
 impl Owners {
-    fn session_of(state: &State, server: usize) -> Kept {
-        state.duties.kept(&name(server))
+    fn session_of(state: &State, server: usize) -> Ownership {
+        state.duties.ownership(&name(server))
     }
 }
 
@@ -155,14 +156,17 @@
 
     fn init_states(&self) -> Vec<State> {
         let mut duties = Duties::default();
-        duties.apply(&Command::Declare(Terms { lease: LEASE, attempts: 99 }, vec![Declared::plain(DUTY)]));
+        duties.apply(&Command::Declare(
+            LeaseSettings { lease_millis: LEASE, max_attempts: 99 },
+            vec![DutySpec::plain(DUTY)],
+        ));
         // Both are here from the start.
-        let holder = |server| Holder { name: name(server), incarnation: 1 };
+        let holder = |server| ServerInstance { name: name(server), incarnation: 1 };
         duties.apply(&Command::KeepAlive((0..SERVERS).map(holder).collect()));
         let servers = [0, 1].map(|server| {
-            let mut tenure = Tenure::default();
-            tenure.answered(duties.kept(&name(server)), 0, 0);
-            (tenure, None)
+            let mut session_client = ClientSession::default();
+            session_client.renewed(duties.ownership(&name(server)), 0, 0);
+            (session_client, None)
         });
         vec![State {
             now: 0,
@@ -171,8 +175,8 @@
             counted: 0,
             told: 0,
             servers,
-            said: BTreeSet::new(),
-            asks: [0; SERVERS],
+            sent: BTreeSet::new(),
+            renewals: [0; SERVERS],
             given: 0,
             leaders: 0,
             fence: Fence::default(),
@@ -189,50 +193,52 @@
             actions.push(Action::NewLeader);
         }
         for server in 0..SERVERS {
-            if state.asks[server] < ASKS {
-                actions.push(Action::Ask(server));
+            if state.renewals[server] < RENEWALS {
+                actions.push(Action::Request(server));
             }
             if state.given < GIVEN {
                 actions.push(Action::Give(server));
             }
-            let (tenure, checked) = &state.servers[server];
+            let (session_client, checked) = &state.servers[server];
             match checked {
-                None if tenure.owns(DUTY, state.now).is_some() => actions.push(Action::Check(server)),
+                None if session_client.owned_token(DUTY, state.now).is_some() => {
+                    actions.push(Action::Check(server))
+                }
                 Some(_) => actions.push(Action::Act(server)),
                 None => {}
             }
         }
-        actions.extend(state.said.iter().cloned().map(Action::Hear));
+        actions.extend(state.sent.iter().cloned().map(Action::Deliver));
     }
 
     fn next_state(&self, last: &State, action: Action) -> Option<State> {
         let mut state = last.clone();
         match action {
             Action::Time => state.now += STEP,
-            Action::Ask(server) => {
-                state.asks[server] += 1;
-                state.said.insert(Word::Here { server, at: state.now });
+            Action::Request(server) => {
+                state.renewals[server] += 1;
+                state.sent.insert(Message::Here { server, at: state.now });
             }
-            Action::Hear(Word::Here { server, at }) => {
-                let holder = Holder { name: name(server), incarnation: 1 };
-                state.duties.pass(state.fleet_now());
+            Action::Deliver(Message::Here { server, at }) => {
+                let holder = ServerInstance { name: name(server), incarnation: 1 };
+                state.duties.advance_time(state.fleet_time());
                 state.duties.apply(&Command::KeepAlive(vec![holder]));
-                let kept = Owners::session_of(&state, server);
-                let token = kept.held.first().map_or(0, |_| state.told);
-                state.said.insert(Word::Owns { server, at, session: kept.session, token });
+                let ownership = Owners::session_of(&state, server);
+                let token = ownership.grants.first().map_or(0, |_| state.told);
+                state.sent.insert(Message::Owns { server, at, session: ownership.session, token });
             }
-            Action::Hear(Word::Owns { server, at, session, token }) => {
-                let kept = kept(session, token);
+            Action::Deliver(Message::Owns { server, at, session, token }) => {
+                let ownership = ownership(session, token);
                 let from = if self.0 == Fault::FromTheAnswer { state.now } else { at };
-                state.servers[server].0.answered(kept, from, state.now);
-                state.servers[server].0.changes();
+                state.servers[server].0.renewed(ownership, from, state.now);
+                state.servers[server].0.take_changes();
             }
-            Action::Hear(Word::Given { server, session, token }) => {
-                state.servers[server].0.told(kept(session, token), state.now);
-                state.servers[server].0.changes();
+            Action::Deliver(Message::Given { server, session, token }) => {
+                state.servers[server].0.notified(ownership(session, token), state.now);
+                state.servers[server].0.take_changes();
             }
             Action::Give(server) => {
-                state.duties.pass(state.fleet_now());
+                state.duties.advance_time(state.fleet_time());
                 let before = state.duties.last_token();
                 state.duties.apply(&Command::Assign(vec![(DUTY.into(), name(server))]));
                 if state.duties.last_token() == before {
@@ -240,23 +246,23 @@
                 }
                 state.given += 1;
                 state.counted += 1;
-                let kept = Owners::session_of(&state, server);
+                let ownership = Owners::session_of(&state, server);
                 state.told = match self.0 {
                     Fault::TokenFromMemory => state.counted,
-                    _ => kept.held[0].token,
+                    _ => ownership.grants[0].token,
                 };
-                state.said.insert(Word::Given { server, session: kept.session, token: state.told });
+                state.sent.insert(Message::Given { server, session: ownership.session, token: state.told });
             }
             Action::NewLeader => {
                 state.leaders += 1;
                 state.counted = 0;
                 if self.0 == Fault::NewLeaderGrantsAtOnce {
-                    state.duties.pass(state.duties.time() + 2 * LEASE);
+                    state.duties.advance_time(state.duties.time() + 2 * LEASE);
                 }
                 state.leads = (state.now, state.duties.time());
             }
             Action::Check(server) => {
-                state.servers[server].1 = state.servers[server].0.owns(DUTY, state.now);
+                state.servers[server].1 = state.servers[server].0.owned_token(DUTY, state.now);
             }
             Action::Act(server) => {
                 let token = state.servers[server].1.take()?;
@@ -277,19 +283,25 @@
                 !state.harmed
             }),
             Property::always("one owner at a time", |_, state: &State| {
-                state.servers.iter().filter(|(tenure, _)| tenure.owns(DUTY, state.now).is_some()).count() <= 1
+                state
+                    .servers
+                    .iter()
+                    .filter(|(session_client, _)| session_client.owned_token(DUTY, state.now).is_some())
+                    .count()
+                    <= 1
             }),
             Property::always("a token is one owner's", |_, state: &State| {
                 let tokens = |server: usize| {
-                    let of = move |word: &Word| match word {
-                        Word::Owns { server: to, token, .. } | Word::Given { server: to, token, .. }
+                    let of = move |message: &Message| match message {
+                        Message::Owns { server: to, token, .. }
+                        | Message::Given { server: to, token, .. }
                             if *to == server && *token > 0 =>
                         {
                             Some(*token)
                         }
                         _ => None,
                     };
-                    state.said.iter().filter_map(of).collect::<BTreeSet<Token>>()
+                    state.sent.iter().filter_map(of).collect::<BTreeSet<Token>>()
                 };
                 tokens(0).is_disjoint(&tokens(1))
             }),
--- a/crates/loomflow-fleet/tests/model.rs
+++ b/crates/loomflow-fleet/tests/ticket_model.rs
@@ -7,10 +7,10 @@
 use std::collections::BTreeSet;
 use std::hash::{Hash, Hasher};
 
-use loomflow_fleet::agreement::Machine;
-use loomflow_fleet::order::state::Order;
-use loomflow_fleet::order::ticket::{Move, Stage, TicketId, Urgency, Wanted};
-use loomflow_fleet::order::{Answer, By, Census, Command, Entry};
+use loomflow_fleet::consensus::StateMachine;
+use loomflow_fleet::maintenance::state::MaintenanceState;
+use loomflow_fleet::maintenance::ticket::{Stage, TicketId, TicketRequest, Transition, Urgency};
+use loomflow_fleet::maintenance::{Census, Command, Entry, Issuer, Response};
 use stateright::{Checker, Model, Property};
 
 const SERVERS: usize = 3;
@@ -43,7 +43,7 @@
 
 #[derive(Clone, Debug)]
 struct State {
-    order: Order,
+    maintenance: MaintenanceState,
     /// Entries so far: each has a number of its own, as repeats that the machine answers from memory are the easier case.
     entries: u128,
     servers: [(Process, u64); SERVERS],
@@ -57,16 +57,16 @@
 impl State {
     /// What of the machine matters for what may still happen: times and history do not.
     fn shown(&self) -> Vec<(TicketId, Stage, u64, u64, u64, u8)> {
-        let open = self.order.open().values();
-        open.map(|t| (t.id, t.stage, t.grant, t.incarnation, t.returned, t.lapses)).collect()
+        let open = self.maintenance.open().values();
+        open.map(|t| (t.id, t.stage, t.grant, t.incarnation, t.returned_incarnation, t.lapses)).collect()
     }
 
     /// Puts an entry into the log; whether it was done.
-    fn agree(&mut self, by: By, command: Command, after: u64) -> bool {
+    fn agree(&mut self, issuer: Issuer, command: Command, after: u64) -> bool {
         self.entries += 1;
-        let entry = Entry { id: self.entries, at: self.order.time() + after, by, command };
+        let entry = Entry { id: self.entries, at: self.maintenance.time() + after, issuer, command };
         let bytes = postcard::to_stdvec(&entry).unwrap();
-        matches!(self.order.apply(&bytes), Some((_, Answer::Done(_))))
+        matches!(self.maintenance.apply(&bytes), Some((_, Response::Done(_))))
     }
 
     fn went(&self) -> usize {
@@ -100,8 +100,8 @@
     Recall(TicketId),
     Withdraw(TicketId),
     /// What the leader sees of a server that holds a place.
-    See(TicketId, Move),
-    Hear(Message),
+    See(TicketId, Transition),
+    OperatorResponse(Message),
     /// A server that leaves is gone.
     End(usize),
     Start(usize),
@@ -136,7 +136,7 @@
 
     fn init_states(&self) -> Vec<State> {
         let mut state = State {
-            order: Order::default(),
+            maintenance: MaintenanceState::default(),
             entries: 0,
             servers: [(Process::Up, 1); SERVERS],
             said: BTreeSet::new(),
@@ -144,24 +144,28 @@
             void: 0,
             withdrawn: false,
         };
-        let wanted = |server| Wanted {
+        let wanted = |server| TicketRequest {
             server: name(server),
             zone: String::new(),
             reason: String::new(),
             urgency: Urgency::Routine,
-            lasts: 24 * 3_600_000,
+            duration_millis: 24 * 3_600_000,
             window: None,
         };
-        assert!(state.agree(By::Operator("ops".into()), Command::Ask(vec![wanted(0), wanted(1)]), 1));
+        assert!(state.agree(
+            Issuer::Operator("ops".into()),
+            Command::CreateTickets(vec![wanted(0), wanted(1)]),
+            1
+        ));
         vec![state]
     }
 
     fn actions(&self, state: &State, actions: &mut Vec<Action>) {
-        for ticket in state.order.open().values() {
+        for ticket in state.maintenance.open().values() {
             let id = ticket.id;
             match ticket.stage {
-                Stage::Asked if state.withdrawn => actions.push(Action::Grant(id)),
-                Stage::Asked => actions.extend([Action::Grant(id), Action::Withdraw(id)]),
+                Stage::Requested if state.withdrawn => actions.push(Action::Grant(id)),
+                Stage::Requested => actions.extend([Action::Grant(id), Action::Withdraw(id)]),
                 Stage::Granted => {
                     actions.push(Action::Tell(id));
                     if state.void < VOID {
@@ -172,11 +176,11 @@
             }
             if ticket.stage.holds_place() && ticket.stage != Stage::Granted {
                 // A server may be taken for dead that is not.
-                let seen = [Move::Leave, Move::Return, Move::Warm, Move::Finish];
+                let seen = [Transition::Depart, Transition::Return, Transition::Warm, Transition::Finish];
                 actions.extend(seen.map(|by| Action::See(id, by)));
             }
         }
-        actions.extend(state.said.iter().map(|message| Action::Hear(*message)));
+        actions.extend(state.said.iter().map(|message| Action::OperatorResponse(*message)));
         for (server, (process, incarnation)) in state.servers.iter().enumerate() {
             match process {
                 Process::Leaving(_) => actions.push(Action::End(server)),
@@ -191,50 +195,50 @@
 
     fn next_state(&self, last: &State, action: Action) -> Option<State> {
         let mut state = last.clone();
-        let of = |id: TicketId| last.order.open().get(&id);
-        let moved = |by, id: TicketId, incarnation| {
+        let of = |id: TicketId| last.maintenance.open().get(&id);
+        let moved = |transition, id: TicketId, incarnation| {
             let grant = of(id).map_or(0, |ticket| ticket.grant);
-            Command::Move { ticket: id, by, grant, incarnation }
+            Command::Transition { ticket: id, transition, grant, incarnation }
         };
         let changed = match action {
             Action::Grant(id) => {
-                let incarnation = last.servers[number(&of(id)?.wanted.server)].1;
+                let incarnation = last.servers[number(&of(id)?.request.server)].1;
                 let census = Census { zones: vec![(String::new(), SERVERS as u32)], away: Vec::new() };
-                state.agree(By::Leader, Command::Grant { ticket: id, incarnation, census }, 1)
+                state.agree(Issuer::Leader, Command::Grant { ticket: id, incarnation, census }, 1)
             }
             Action::Tell(id) => {
                 let ticket = of(id)?;
                 let (grant, incarnation) = (ticket.grant, ticket.incarnation);
-                let server = number(&ticket.wanted.server);
+                let server = number(&ticket.request.server);
                 state.said.insert(Message::Granted { server, ticket: id, grant, incarnation })
             }
             Action::Lapse(id) => {
                 state.void += 1;
-                state.agree(By::Leader, Command::Clock, of(id)?.due - last.order.time())
+                state.agree(Issuer::Leader, Command::Clock, of(id)?.deadline - last.maintenance.time())
             }
             Action::Recall(id) => {
                 state.void += 1;
-                state.agree(By::Leader, moved(Move::Recall, id, of(id)?.incarnation), 1)
+                state.agree(Issuer::Leader, moved(Transition::Recall, id, of(id)?.incarnation), 1)
             }
             Action::Withdraw(id) => {
                 state.withdrawn = true;
-                state.agree(By::Operator("ops".into()), moved(Move::Withdraw, id, 0), 1)
+                state.agree(Issuer::Operator("ops".into()), moved(Transition::Withdraw, id, 0), 1)
             }
             Action::See(id, by) => {
                 let ticket = of(id)?;
-                let (process, incarnation) = last.servers[number(&ticket.wanted.server)];
+                let (process, incarnation) = last.servers[number(&ticket.request.server)];
                 let up = matches!(process, Process::Up | Process::Leaving(_));
                 // What `watch` makes of a sight: back is one that is up, with a start that is not the one that went.
-                let went = ticket.incarnation.max(ticket.returned);
+                let went = ticket.incarnation.max(ticket.returned_incarnation);
                 let seen = match by {
-                    Move::Leave => went,
+                    Transition::Depart => went,
                     _ if !up => return None,
-                    Move::Return if incarnation == ticket.incarnation => return None,
+                    Transition::Return if incarnation == ticket.incarnation => return None,
                     _ => incarnation,
                 };
-                state.agree(By::Leader, moved(by, id, seen), 1)
+                state.agree(Issuer::Leader, moved(by, id, seen), 1)
             }
-            Action::Hear(Message::Granted { server, ticket, grant, incarnation }) => {
+            Action::OperatorResponse(Message::Granted { server, ticket, grant, incarnation }) => {
                 let (process, own) = last.servers[server];
                 if process != Process::Up || own != incarnation {
                     return None;
@@ -246,13 +250,14 @@
                     state.said.insert(Message::Begin { server, ticket, grant, incarnation })
                 }
             }
-            Action::Hear(Message::Begin { server, ticket, grant, incarnation }) => {
-                let by = By::Server { name: name(server), incarnation };
-                let command = Command::Move { ticket, by: Move::Begin, grant, incarnation };
+            Action::OperatorResponse(Message::Begin { server, ticket, grant, incarnation }) => {
+                let by = Issuer::Server { name: name(server), incarnation };
+                let command =
+                    Command::Transition { ticket, transition: Transition::Begin, grant, incarnation };
                 state.agree(by, command, 1)
                     && state.said.insert(Message::Begun { server, ticket, incarnation })
             }
-            Action::Hear(Message::Begun { server, ticket, incarnation }) => {
+            Action::OperatorResponse(Message::Begun { server, ticket, incarnation }) => {
                 let (process, own) = last.servers[server];
                 let meant = own == incarnation || self.fault == Fault::ForgetsItsStart;
                 state.servers[server].0 = Process::Leaving(ticket);
@@ -282,13 +287,13 @@
             Property::always(PLACE_HELD, |_, state: &State| {
                 state.servers.iter().enumerate().all(|(server, (process, _))| match process {
                     Process::Leaving(ticket) | Process::Out(ticket) => {
-                        state.order.holders().get(&name(server)) == Some(ticket)
+                        state.maintenance.holders().get(&name(server)) == Some(ticket)
                     }
                     _ => true,
                 })
             }),
             Property::sometimes("both are done", |_, state: &State| {
-                state.order.over().filter(|ticket| ticket.stage == Stage::Done).count() == 2
+                state.maintenance.closed().filter(|ticket| ticket.stage == Stage::Done).count() == 2
             }),
         ]
     }
--- a/crates/loomflow-fleet/tests/wire_format.rs
+++ b/crates/loomflow-fleet/tests/wire_format.rs
@@ -4,37 +4,45 @@
 
 use std::fmt::Write as _;
 
-use loomflow_fleet::agreement::Machine;
-use loomflow_fleet::agreement::disk::Stamp;
+use loomflow_fleet::consensus::StateMachine;
+use loomflow_fleet::consensus::storage::ReplicaMetadata;
 use loomflow_fleet::duty::fence::Fence;
-use loomflow_fleet::duty::schedule::{Missed, Schedule, When};
+use loomflow_fleet::duty::schedule::{MissedRuns, Recurrence, Schedule};
 use loomflow_fleet::duty::summary::Summary;
-use loomflow_fleet::duty::{self, Declared, Grant, Holder, Kept, Listed, Note, Row, Terms, What};
-use loomflow_fleet::member::{Digest, Me, Phase, Seat, Standing};
-use loomflow_fleet::operator::{Hear, Owned, Say};
-use loomflow_fleet::order::campaign::{self, Stand};
-use loomflow_fleet::order::choose::{Check, Explained, Finding};
-use loomflow_fleet::order::headroom::Estimate;
-use loomflow_fleet::order::rules::{Amount, Rules};
-use loomflow_fleet::order::state::Happened;
-use loomflow_fleet::order::ticket::{Move, Refusal, Stage, Ticket, Urgency, Wanted};
-use loomflow_fleet::order::{Answer, Ask, By, Census, Command, Entry, MemberRow, Status, Told};
-use loomflow_fleet::record::Record;
+use loomflow_fleet::duty::{
+    self, DutyEventKind, DutyList, DutySpec, DutyStatus, Grant, LeaseSettings, OwnerUpdate, Ownership,
+    ServerInstance,
+};
+use loomflow_fleet::fleet_state::FleetState;
+use loomflow_fleet::maintenance::campaign::{self, CampaignStatus};
+use loomflow_fleet::maintenance::headroom::Estimate;
+use loomflow_fleet::maintenance::rules::{Limit, Rules};
+use loomflow_fleet::maintenance::scheduling::{Check, Explanation, Finding};
+use loomflow_fleet::maintenance::state::TicketEvent;
+use loomflow_fleet::maintenance::ticket::{Refusal, Stage, Ticket, TicketRequest, Transition, Urgency};
+use loomflow_fleet::maintenance::{
+    Census, Command, Entry, Issuer, MemberRow, Request, Response, Status, SummaryReport,
+};
+use loomflow_fleet::member::{LoadReport, MemberIdentity, MemberState, Phase, Replica};
+use loomflow_fleet::operator::{OperatorRequest, OperatorResponse, OwnedDuty};
 use loomflow_fleet::wire::{self, Body, Message, Notice};
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 /// One line for each value: its JSON, and its postcard bytes in hexadecimal.
 #[derive(Default)]
 struct Lines(String);
 
 impl Lines {
-    fn add(&mut self, value: &impl Serialize) {
+    fn add<T: Serialize + DeserializeOwned>(&mut self, value: &T) {
         let json = serde_json::to_string(value).unwrap();
+        let read: T = serde_json::from_str(&json).unwrap();
+        assert_eq!(serde_json::to_string(&read).unwrap(), json);
         let hex = hex(&postcard::to_stdvec(value).unwrap());
         writeln!(self.0, "{json} {hex}").unwrap();
     }
 
-    fn add_all<T: Serialize>(&mut self, values: impl IntoIterator<Item = T>) {
+    fn add_all<T: Serialize + DeserializeOwned>(&mut self, values: impl IntoIterator<Item = T>) {
         values.into_iter().for_each(|value| self.add(&value));
     }
 }
@@ -43,143 +51,154 @@
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
-fn digest() -> Digest {
-    let (share, over_aim, limit, running, cores) = (0.5, 1.5, 8.0, 4.0, 2.0);
-    Digest { phase: Phase::Serving, share, over_aim, limit, running, cores, healthy: true }
+fn load_report() -> LoadReport {
+    let (share, hold_time_ratio, limit, running, cores) = (0.5, 1.5, 8.0, 4.0, 2.0);
+    LoadReport { phase: Phase::Serving, share, hold_time_ratio, limit, running, cores, healthy: true }
 }
 
-fn wanted() -> Wanted {
+fn wanted() -> TicketRequest {
     let (server, zone, reason) = ("n1".into(), "z1".into(), "kernel".into());
-    Wanted { server, zone, reason, urgency: Urgency::Urgent, lasts: 60_000, window: Some((1, 9)) }
+    TicketRequest {
+        server,
+        zone,
+        reason,
+        urgency: Urgency::Urgent,
+        duration_millis: 60_000,
+        window: Some((1, 9)),
+    }
 }
 
 fn ticket() -> Ticket {
     Ticket {
         id: 1,
-        key: 2,
-        wanted: wanted(),
-        by: "ops".into(),
+        request_id: 2,
+        request: wanted(),
+        requested_by: "ops".into(),
         stage: Stage::Draining,
-        asked_at: 3,
+        requested_at: 3,
         since: 4,
         grant: 5,
         incarnation: 6,
-        returned: 7,
+        returned_incarnation: 7,
         lapses: 1,
-        due: 8,
+        deadline: 8,
     }
 }
 
 fn schedule() -> Schedule {
-    Schedule { when: When::Every(60), missed: Missed::Once }
+    Schedule { recurrence: Recurrence::Every(60), missed_runs: MissedRuns::Once }
 }
 
 fn grant() -> Grant {
     Grant {
         duty: "d".into(),
         token: 1,
-        recalled: true,
+        is_recalled: true,
         checkpoint: vec![7],
         last_run: 2,
-        unended: true,
-        wanted: true,
+        has_unfinished_run: true,
+        is_run_requested: true,
         schedule: Some(schedule()),
     }
 }
 
-fn kept() -> Kept {
-    Kept { session: 3, terms: Terms { lease: 1_000, attempts: 3 }, held: vec![grant()] }
+fn kept() -> Ownership {
+    Ownership {
+        session: 3,
+        lease_settings: LeaseSettings { lease_millis: 1_000, max_attempts: 3 },
+        grants: vec![grant()],
+    }
 }
 
-fn holder() -> Holder {
-    Holder { name: "n1".into(), incarnation: 9 }
+fn holder() -> ServerInstance {
+    ServerInstance { name: "n1".into(), incarnation: 9 }
 }
 
 fn summary() -> Summary {
     Summary {
         members: 3,
         serving: 2,
-        carries: 4.0,
-        bears: 8.0,
+        carried_load: 4.0,
+        capacity: 8.0,
         share: 0.5,
-        worst: vec![("z1".into(), 0.75)],
-        out: vec!["n3".into()],
+        fullest_zones: vec![("z1".into(), 0.75)],
+        not_serving: vec!["n3".into()],
     }
 }
 
 fn duty_commands() -> Vec<duty::Command> {
     use duty::Command::*;
     let duty = || "d".to_owned();
-    let declared = Declared { name: duty(), weight: 2, schedule: Some(schedule()) };
-    let write = |note| Write { duty: duty(), token: 4, note };
+    let declared = DutySpec { name: duty(), weight: 2, schedule: Some(schedule()) };
+    let write = |update| Write { duty: duty(), token: 4, update };
     vec![
-        Declare(Terms::default(), vec![declared]),
+        Declare(LeaseSettings::default(), vec![declared]),
         KeepAlive(vec![holder()]),
         End(holder()),
         Assign(vec![(duty(), "n1".into())]),
         Recall(duty()),
-        Release { duty: duty(), token: 4, to: Some("n2".into()) },
-        write(Note::Checkpoint(vec![1, 2])),
-        write(Note::Began(5)),
-        write(Note::Done(5)),
-        write(Note::Failed(5, "exit status: 1".into())),
+        Release { duty: duty(), token: 4, successor: Some("n2".into()) },
+        write(OwnerUpdate::Checkpoint(vec![1, 2])),
+        write(OwnerUpdate::Began(5)),
+        write(OwnerUpdate::Done(5)),
+        write(OwnerUpdate::Failed(5, "exit status: 1".into())),
         Park(duty(), "look".into()),
         Resume(duty()),
         Run(duty(), 11),
     ]
 }
 
-fn duty_answers() -> Vec<duty::Answer> {
+fn duty_answers() -> Vec<duty::Response> {
     use duty::Refusal;
-    let row = Row {
+    let row = DutyStatus {
         duty: "d".into(),
         owner: Some(holder()),
         token: 4,
         since: 5,
-        recalled: true,
+        is_recalled: true,
         parked: Some("look".into()),
-        strikes: vec!["lost".into()],
+        recent_failures: vec!["lost".into()],
         last_run: 6,
-        unended: true,
-        wanted: true,
-        refused: 7,
+        has_unfinished_run: true,
+        is_run_requested: true,
+        refused_writes: 7,
     };
     let kinds = [
-        What::Taken,
-        What::Released,
-        What::Lost,
-        What::Began,
-        What::Done,
-        What::Failed,
-        What::Parked,
-        What::Resumed,
-        What::Refused,
+        DutyEventKind::Taken,
+        DutyEventKind::Released,
+        DutyEventKind::Lost,
+        DutyEventKind::Began,
+        DutyEventKind::Done,
+        DutyEventKind::Failed,
+        DutyEventKind::Parked,
+        DutyEventKind::Resumed,
+        DutyEventKind::Refused,
     ];
-    let event = |what| duty::Happened {
+    let event = |kind| duty::DutyEvent {
         at: 1,
         duty: "d".into(),
         token: 4,
         owner: "n1".into(),
-        what,
+        kind,
         detail: "why".into(),
     };
     let refusals = [
         Refusal::Unknown("d".into()),
-        Refusal::Stale { duty: "d".into(), token: 1, counts: 2 },
-        Refusal::FormerSelf(3),
+        Refusal::Stale { duty: "d".into(), token: 1, current: 2 },
+        Refusal::EarlierIncarnation(3),
         Refusal::Begun { duty: "d".into(), run: 4 },
-        Refusal::Bad("no".into()),
+        Refusal::Invalid("no".into()),
     ];
-    let listed = Listed {
+    let listed = DutyList {
         duties: vec![row],
         sessions: vec!["n1".into()],
-        terms: Terms::default(),
+        lease_settings: LeaseSettings::default(),
         time: 8,
         events: kinds.map(event).to_vec(),
     };
-    let mut answers = vec![duty::Answer::Done, duty::Answer::Kept(kept())];
-    answers.extend(refusals.map(duty::Answer::Refused));
-    answers.push(duty::Answer::List(Box::new(listed)));
+    let mut answers = vec![duty::Response::Done, duty::Response::Ownership(kept())];
+    answers.extend(refusals.map(duty::Response::Refused));
+    answers.push(duty::Response::List(Box::new(listed)));
     answers
 }
 
@@ -187,31 +206,35 @@
     use campaign::Command::*;
     let name = || "kernel".to_owned();
     vec![
-        Start { name: name(), wanted: vec![wanted()], batch: 2 },
+        Start { name: name(), requests: vec![wanted()], batch_size: 2 },
         Resume(name()),
         Drop(name()),
-        Next { name: name(), from: 1, base: 0.5, token: 3 },
-        Halt { name: name(), from: 1, reason: "worse".into(), token: 3 },
+        Next { name: name(), from_index: 1, share_before: 0.5, token: 3 },
+        Halt { name: name(), from_index: 1, reason: "worse".into(), token: 3 },
     ]
 }
 
-fn campaign_views() -> Vec<campaign::View> {
-    let view = |stand| campaign::View {
+fn campaign_views() -> Vec<campaign::CampaignView> {
+    let view = |status| campaign::CampaignView {
         name: "kernel".into(),
-        by: "ops".into(),
-        stand,
-        next: 1,
-        all: 2,
-        last: vec![("n1".into(), Some(Stage::Done)), ("n2".into(), None)],
-        base: 0.5,
-        now: Some(0.25),
-        coming: None,
+        requested_by: "ops".into(),
+        status,
+        next_index: 1,
+        total: 2,
+        last_batch: vec![("n1".into(), Some(Stage::Done)), ("n2".into(), None)],
+        share_before: 0.5,
+        share_now: Some(0.25),
+        next_batch_share: None,
     };
-    vec![view(Stand::Runs), view(Stand::Halted("worse".into())), view(Stand::Done)]
+    vec![
+        view(CampaignStatus::Running),
+        view(CampaignStatus::Halted("worse".into())),
+        view(CampaignStatus::Done),
+    ]
 }
 
 fn rules() -> Rules {
-    Rules { zone_out: Some(Amount::Share(0.25)), ..Rules::default() }
+    Rules { max_out_per_zone: Some(Limit::Share(0.25)), ..Rules::default() }
 }
 
 fn census() -> Census {
@@ -220,15 +243,20 @@
 
 fn commands() -> Vec<Command> {
     let mut commands = vec![
-        Command::Ask(vec![wanted()]),
+        Command::CreateTickets(vec![wanted()]),
         Command::Grant { ticket: 1, incarnation: 6, census: census() },
         Command::Pause("storm".into()),
         Command::Resume,
         Command::Rules(rules()),
-        Command::Unasked("n1".into()),
+        Command::DrainedWithoutTicket("n1".into()),
         Command::Clock,
     ];
-    commands.extend(Move::ALL.map(|by| Command::Move { ticket: 1, by, grant: 5, incarnation: 6 }));
+    commands.extend(Transition::ALL.map(|transition| Command::Transition {
+        ticket: 1,
+        transition,
+        grant: 5,
+        incarnation: 6,
+    }));
     commands.extend(duty_commands().into_iter().map(Command::Duty));
     commands.extend(campaign_commands().into_iter().map(Command::Campaign));
     commands
@@ -237,42 +265,42 @@
 fn refusals() -> Vec<Refusal> {
     vec![
         Refusal::Unknown,
-        Refusal::Over(Stage::Done),
-        Refusal::UnderWay(Stage::Out),
-        Refusal::NotYet(Stage::Asked),
-        Refusal::Superseded { grant: 1, holds: 2 },
+        Refusal::Closed(Stage::Done),
+        Refusal::TooLate(Stage::Out),
+        Refusal::TooEarly(Stage::Requested),
+        Refusal::Superseded { grant: 1, current: 2 },
         Refusal::OtherIncarnation,
-        Refusal::NotYours,
-        Refusal::NoPlace { out: 1, most: 1, zone: Some("z1".into()) },
+        Refusal::NotPermitted,
+        Refusal::NoPlace { out: 1, limit: 1, zone: Some("z1".into()) },
         Refusal::Voters { stay: 1, needed: 2 },
         Refusal::Paused,
-        Refusal::Window,
+        Refusal::WindowNotOpen,
         Refusal::HoldsPlace(3),
         Refusal::TooMany(4),
-        Refusal::Bad("no".into()),
+        Refusal::Invalid("no".into()),
         Refusal::NoLeader,
     ]
 }
 
 fn status() -> Status {
     let states = [
-        Standing::Cold,
-        Standing::Serving,
-        Standing::Leaving,
-        Standing::Out,
-        Standing::Suspect,
-        Standing::Down,
-        Standing::Gone,
+        MemberState::Cold,
+        MemberState::Serving,
+        MemberState::Draining,
+        MemberState::Out,
+        MemberState::Suspect,
+        MemberState::Down,
+        MemberState::Gone,
     ];
-    let member = |standing| MemberRow {
+    let member = |state| MemberRow {
         name: "n1".into(),
         zone: "z1".into(),
         address: "127.0.0.1:7".into(),
         incarnation: 6,
-        standing,
-        voter: true,
-        digest: Some(digest()),
-        age: Some(10),
+        state,
+        is_voter: true,
+        load_report: Some(load_report()),
+        report_age_millis: Some(10),
         ticket: Some((1, Stage::Out)),
     };
     Status {
@@ -281,21 +309,21 @@
         term: 1,
         index: 2,
         voters: vec!["n1".into()],
-        fresh: true,
+        is_from_leader: true,
         members: states.map(member).to_vec(),
         rules: rules(),
         paused: Some("storm".into()),
         open: 3,
         out: 4,
-        unasked: 5,
+        drains_without_ticket: 5,
         time: 6,
-        fault: Some("full".into()),
-        summary: Some(Told { by: "n1".into(), token: 7, age: 8, summary: summary() }),
-        refused: 9,
+        storage_error: Some("full".into()),
+        summary: Some(SummaryReport { owner: "n1".into(), token: 7, age_millis: 8, summary: summary() }),
+        refused_messages: 9,
     }
 }
 
-fn explained() -> Explained {
+fn explained() -> Explanation {
     let checks = [
         Check::Pause,
         Check::Window,
@@ -305,41 +333,53 @@
         Check::Voters,
         Check::Headroom,
         Check::Leader,
-        Check::Turn,
+        Check::Queue,
     ];
-    let finding = |check| Finding { check, holds: false, have: 1.0, need: 2.0, who: Some("n2".into()) };
-    Explained {
+    let finding =
+        |check| Finding { check, is_satisfied: false, actual: 1.0, required: 2.0, detail: Some("n2".into()) };
+    Explanation {
         server: "n1".into(),
-        standing: Some(Standing::Serving),
-        ticket: Some((1, Stage::Asked)),
+        state: Some(MemberState::Serving),
+        ticket: Some((1, Stage::Requested)),
         findings: checks.map(finding).to_vec(),
-        estimate: Estimate { now: 1.0, most: 2.0, stay: 3.0 },
+        estimate: Estimate { current_load: 1.0, peak_load: 2.0, remaining_capacity: 3.0 },
     }
 }
 
-fn answers() -> Vec<Answer> {
-    let event = |stage| Happened { at: 1, ticket: 2, server: "n1".into(), stage, grant: 3 };
+fn answers() -> Vec<Response> {
+    let event = |stage| TicketEvent { at: 1, ticket: 2, server: "n1".into(), stage, grant: 3 };
     let mut answers = vec![
-        Answer::Done(vec![1, 2]),
-        Answer::Status(Box::new(status())),
-        Answer::Tickets {
+        Response::Done(vec![1, 2]),
+        Response::Status(Box::new(status())),
+        Response::Tickets {
             open: vec![ticket()],
-            over: vec![ticket()],
+            closed: vec![ticket()],
             events: Stage::ALL.map(event).to_vec(),
         },
-        Answer::Explained(explained()),
-        Answer::Campaigns(campaign_views()),
+        Response::Explanation(explained()),
+        Response::Campaigns(campaign_views()),
     ];
-    answers.extend(refusals().into_iter().map(Answer::Refused));
-    answers.extend(duty_answers().into_iter().map(Answer::Duty));
+    answers.extend(refusals().into_iter().map(Response::Refused));
+    answers.extend(duty_answers().into_iter().map(Response::Duty));
     answers
 }
 
-fn asks() -> Vec<Ask> {
-    let issuers = [By::Leader, By::Server { name: "n1".into(), incarnation: 6 }, By::Operator("ops".into())];
-    let mut asks: Vec<Ask> = issuers.map(|by| Ask::Do { by, command: Command::Clock }).to_vec();
-    asks.extend(commands().into_iter().map(|command| Ask::Do { by: By::Leader, command }));
-    asks.extend([Ask::Status, Ask::Tickets, Ask::Explain("n1".into()), Ask::Duties, Ask::Campaigns]);
+fn asks() -> Vec<Request> {
+    let issuers = [
+        Issuer::Leader,
+        Issuer::Server { name: "n1".into(), incarnation: 6 },
+        Issuer::Operator("ops".into()),
+    ];
+    let mut asks: Vec<Request> =
+        issuers.map(|issuer| Request::Execute { issuer, command: Command::Clock }).to_vec();
+    asks.extend(commands().into_iter().map(|command| Request::Execute { issuer: Issuer::Leader, command }));
+    asks.extend([
+        Request::Status,
+        Request::Tickets,
+        Request::Explain("n1".into()),
+        Request::Duties,
+        Request::Campaigns,
+    ]);
     asks
 }
 
@@ -347,21 +387,33 @@
 #[test]
 fn operator_messages_keep_their_json_and_all_values_their_bytes() {
     let mut lines = Lines::default();
-    lines.add_all(asks().into_iter().map(Say::Fleet));
-    lines.add_all([Say::Here, Say::Found, Say::Recover, Say::Owns("d".into()), Say::LetGo("d".into())]);
-    lines.add_all(answers().into_iter().map(Hear::Answer));
-    let owned = Owned { token: 1, left: 2, recalled: true, terms: Terms::default(), checkpoint: vec![1] };
+    lines.add_all(asks().into_iter().map(OperatorRequest::Fleet));
+    lines.add_all([
+        OperatorRequest::LocalStatus,
+        OperatorRequest::Bootstrap,
+        OperatorRequest::Recover,
+        OperatorRequest::CheckOwnership("d".into()),
+        OperatorRequest::WorkEnded("d".into()),
+    ]);
+    lines.add_all(answers().into_iter().map(OperatorResponse::Response));
+    let owned = OwnedDuty {
+        token: 1,
+        remaining_millis: 2,
+        is_recalled: true,
+        lease_settings: LeaseSettings::default(),
+        checkpoint: vec![1],
+    };
     lines.add_all([
-        Hear::Here(Box::new(status())),
-        Hear::Done,
-        Hear::Owned(owned),
-        Hear::NotOwned,
-        Hear::Fault("full".into()),
+        OperatorResponse::LocalStatus(Box::new(status())),
+        OperatorResponse::Done,
+        OperatorResponse::Owned(owned),
+        OperatorResponse::NotOwned,
+        OperatorResponse::Error("full".into()),
     ]);
     lines.add_all([Urgency::Routine, Urgency::Urgent, Urgency::Broken]);
-    lines.add_all([Phase::Cold, Phase::Serving, Phase::Leaving]);
-    lines.add_all([When::Every(1), When::Cron("0 3 * * *".into())]);
-    lines.add_all([Missed::Skip, Missed::Once]);
+    lines.add_all([Phase::Cold, Phase::Serving, Phase::Draining]);
+    lines.add_all([Recurrence::Every(1), Recurrence::Cron("0 3 * * *".into())]);
+    lines.add_all([MissedRuns::Skip, MissedRuns::Once]);
     let mut fence = Fence::default();
     assert_eq!(fence.admit("d", 5, |_| Ok::<(), ()>(())), Ok(()));
     lines.add(&fence);
@@ -371,25 +423,25 @@
 /// Members speak postcard behind a length.
 #[test]
 fn member_messages_keep_their_bytes() {
-    let seat = Seat { id: 1, group: 2 };
-    let notice = Notice { sent: 1, leader: Some("n1".into()), term: 2, index: 3, ticket: Some(ticket()) };
+    let replica = Replica { id: 1, group: 2 };
+    let notice = Notice { sent_at: 1, leader: Some("n1".into()), term: 2, index: 3, ticket: Some(ticket()) };
     let bodies = [
         Body::Swim(vec![1]),
         Body::Raft { group: 2, bytes: vec![3] },
-        Body::Digest { sent: 1, digest: digest(), seat: Some(seat) },
+        Body::LoadReport { sent_at: 1, load_report: load_report(), replica: Some(replica) },
         Body::Notice(notice),
-        Body::Ask { id: 1, hops: 1, ask: Ask::Status },
-        Body::Answer { id: 1, answer: Answer::Done(vec![4]) },
+        Body::Request { id: 1, hops: 1, request: Request::Status },
+        Body::Response { id: 1, response: Response::Done(vec![4]) },
         Body::Duties(kept()),
         Body::Summary { token: 5, summary: summary() },
     ];
-    let from = Me::new("n1".into(), "z1".into(), ([127, 0, 0, 1], 7).into(), 6);
+    let from = MemberIdentity::new("n1".into(), "z1".into(), ([127, 0, 0, 1], 7).into(), 6);
     let mut text = String::new();
     for body in bodies {
         let message = Message { fleet: "riga".into(), from: from.clone(), body };
-        writeln!(text, "{}", hex(&wire::seal(&message).unwrap())).unwrap();
+        writeln!(text, "{}", hex(&wire::encode(&message).unwrap())).unwrap();
     }
-    writeln!(text, "{}", hex(&Stamp { incarnation: 6, seat }.encode())).unwrap();
+    writeln!(text, "{}", hex(&ReplicaMetadata { incarnation: 6, replica }.encode())).unwrap();
     assert_same(&text, include_str!("wire_format/member.txt"));
 }
 
@@ -397,35 +449,39 @@
 #[test]
 fn entries_and_snapshots_keep_their_bytes() {
     let mut text = String::new();
-    let mut record = Record::default();
-    record.voters(vec!["n1".into(), "n2".into(), "n3".into()]);
-    let leader = |command| (By::Leader, command);
-    let operator = |command| (By::Operator("ops".into()), command);
-    let server = |command| (By::Server { name: "n1".into(), incarnation: 6 }, command);
-    let own = || duty::Command::KeepAlive(vec![Holder { name: "n1".into(), incarnation: 6 }]);
-    let declared = Declared { name: "d".into(), weight: 2, schedule: Some(schedule()) };
+    let mut state = FleetState::default();
+    state.set_voters(vec!["n1".into(), "n2".into(), "n3".into()]);
+    let leader = |command| (Issuer::Leader, command);
+    let operator = |command| (Issuer::Operator("ops".into()), command);
+    let server = |command| (Issuer::Server { name: "n1".into(), incarnation: 6 }, command);
+    let own = || duty::Command::KeepAlive(vec![ServerInstance { name: "n1".into(), incarnation: 6 }]);
+    let declared = DutySpec { name: "d".into(), weight: 2, schedule: Some(schedule()) };
     let mut entries = vec![
         leader(Command::Rules(rules())),
-        operator(Command::Ask(vec![Wanted { window: None, ..wanted() }])),
+        operator(Command::CreateTickets(vec![TicketRequest { window: None, ..wanted() }])),
         leader(Command::Grant { ticket: 1, incarnation: 6, census: Census::default() }),
-        server(Command::Move { ticket: 1, by: Move::Begin, grant: 1, incarnation: 6 }),
-        leader(Command::Duty(duty::Command::Declare(Terms::default(), vec![declared]))),
+        server(Command::Transition { ticket: 1, transition: Transition::Begin, grant: 1, incarnation: 6 }),
+        leader(Command::Duty(duty::Command::Declare(LeaseSettings::default(), vec![declared]))),
         leader(Command::Duty(own())),
         leader(Command::Duty(duty::Command::Assign(vec![("d".into(), "n1".into())]))),
-        server(Command::Duty(duty::Command::Write { duty: "d".into(), token: 1, note: Note::Began(60) })),
+        server(Command::Duty(duty::Command::Write {
+            duty: "d".into(),
+            token: 1,
+            update: OwnerUpdate::Began(60),
+        })),
     ];
-    let start = campaign::Command::Start { name: "kernel".into(), wanted: vec![wanted()], batch: 1 };
+    let start = campaign::Command::Start { name: "kernel".into(), requests: vec![wanted()], batch_size: 1 };
     entries.push(operator(Command::Campaign(start)));
     entries.extend(commands().into_iter().map(operator));
-    for (at, (by, command)) in entries.into_iter().enumerate() {
-        let entry = Entry { id: at as u128 + 1, at: at as u64, by, command };
+    for (at, (issuer, command)) in entries.into_iter().enumerate() {
+        let entry = Entry { id: at as u128 + 1, at: at as u64, issuer, command };
         let bytes = postcard::to_stdvec(&entry).unwrap();
-        let output = record.apply(&bytes).unwrap();
+        let output = state.apply(&bytes).unwrap();
         writeln!(text, "{} {}", hex(&bytes), hex(&postcard::to_stdvec(&output).unwrap())).unwrap();
     }
-    let saved = record.save();
+    let saved = state.save();
     writeln!(text, "{}", hex(&saved)).unwrap();
-    assert_eq!(Record::load(&saved).unwrap().save(), saved);
+    assert_eq!(FleetState::load(&saved).unwrap().save(), saved);
     assert_same(&text, include_str!("wire_format/log.txt"));
 }
 
--- a/crates/loomflow-measure/src/order/cost.rs
+++ b/crates/loomflow-measure/src/order/cost.rs
@@ -3,9 +3,9 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use loomflow_fleet::operator::Say;
-use loomflow_fleet::order::ticket::{Urgency, Wanted};
-use loomflow_fleet::order::{Ask, By, Command};
+use loomflow_fleet::maintenance::ticket::{TicketRequest, Urgency};
+use loomflow_fleet::maintenance::{Command, Issuer, Request};
+use loomflow_fleet::operator::OperatorRequest;
 use loomflow_standins::fleet::{Fleet, Plan};
 use loomflow_standins::{Worker, World, site};
 
@@ -19,17 +19,18 @@
 fn start_with_many(program: &Path) -> f64 {
     let plan = Plan { members: 3, ..MADE };
     let mut fleet = Fleet::start_with(plan, program).found(plan);
-    let wanted = (0..MANY).map(|n| Wanted {
+    let requests = (0..MANY).map(|n| TicketRequest {
         server: format!("gone{n}"),
         zone: String::new(),
         reason: "kernel".into(),
         urgency: Urgency::Routine,
-        lasts: 60_000,
+        duration_millis: 60_000,
         window: None,
     });
-    let command = Command::Ask(wanted.collect());
-    let say = Say::Fleet(Ask::Do { by: By::Operator("measure".into()), command });
-    fleet.say_line(0, &serde_json::to_string(&say).expect("a line"));
+    let command = Command::CreateTickets(requests.collect());
+    let request =
+        OperatorRequest::Fleet(Request::Execute { issuer: Issuer::Operator("measure".into()), command });
+    fleet.say_line(0, &serde_json::to_string(&request).expect("a line"));
     let open = |fleet: &Fleet, one: usize| fleet.here(one)["open"].as_u64().unwrap_or(0);
     fleet.wait_until("all voters have them", |fleet| (0..3).all(|one| open(fleet, one) == MANY as u64));
     fleet.kill(1);
--- a/crates/loomflow-measure/src/order/simulated.rs
+++ b/crates/loomflow-measure/src/order/simulated.rs
@@ -2,8 +2,8 @@
 
 use std::time::Instant;
 
-use loomflow_fleet::order::rules::{Amount, Rules};
-use loomflow_fleet::order::ticket::{Stage, Urgency};
+use loomflow_fleet::maintenance::rules::{Limit, Rules};
+use loomflow_fleet::maintenance::ticket::{Stage, Urgency};
 use loomflow_simulation::{Fault, Script, Shape, World, abreast, cores};
 
 use crate::report::Report;
@@ -31,7 +31,7 @@
             let shape = Shape { machines, voters, zones: 3, drift: 0.001, ..Shape::default() };
             // A few of the many ask: what is looked for is what breaks, not how long all take.
             let mut script = Script::drawn(seed, machines, voters, 12_000, 40_000);
-            if let Some((_, Fault::Ask(who, _))) = script.steps.first_mut() {
+            if let Some((_, Fault::RequestWork(who, _))) = script.steps.first_mut() {
                 who.truncate(8);
             }
             let mut world = World::new(shape, seed);
@@ -150,7 +150,7 @@
 const BEARS: f64 = 8.0;
 const DAY: u64 = 1_800;
 const ASKED_AT: u64 = 240;
-const BURST: u64 = 600;
+const BURST_SECONDS: u64 = 600;
 const WORK: u64 = 30;
 
 /// The headroom rule against "three at once", over bursts that begin before, while and after the first are out. What those
@@ -158,27 +158,31 @@
 /// apart from what is lost for grants that were given in it.
 fn headroom(report: &mut Report) {
     let bursts = [200, 250, 270, 290, 310, 400];
-    let demand = |burst: u64, second: u64| if (burst..burst + BURST).contains(&second) { 7.4 } else { 5.0 };
+    let demand =
+        |burst: u64, second: u64| if (burst..burst + BURST_SECONDS).contains(&second) { 7.4 } else { 5.0 };
     let days = abreast(cores(), 0..bursts.len() as u64, |at| {
         let burst = bursts[at as usize];
-        (settled(burst, &|second| demand(burst, second)), unasked(&|second| demand(burst, second)))
+        (
+            day_by_the_fleet(burst, &|second| demand(burst, second)),
+            day_in_fixed_batches(&|second| demand(burst, second)),
+        )
     });
     let mut rows = Vec::new();
     let (mut lost, mut in_burst, mut plain, mut done) = (0.0, 0.0, 0.0, 0);
-    for (burst, (settled, unasked)) in bursts.iter().zip(&days) {
+    for (burst, (by_fleet, fixed)) in bursts.iter().zip(&days) {
         let time = |day: &Day| day.done.map_or("not within the day".into(), |s| s.to_string());
         rows.push(vec![
             burst.to_string(),
-            format!("{:.4}", settled.lost / settled.asked),
-            format!("{:.4}", settled.granted_in_burst / settled.asked),
-            time(settled),
-            format!("{:.4}", unasked.lost / unasked.asked),
-            time(unasked),
+            format!("{:.4}", by_fleet.lost / by_fleet.asked),
+            format!("{:.4}", by_fleet.granted_in_burst / by_fleet.asked),
+            time(by_fleet),
+            format!("{:.4}", fixed.lost / fixed.asked),
+            time(fixed),
         ]);
-        lost += settled.lost;
-        in_burst += settled.granted_in_burst;
-        plain += unasked.lost;
-        done = done.max(settled.done.unwrap_or(DAY));
+        lost += by_fleet.lost;
+        in_burst += by_fleet.granted_in_burst;
+        plain += fixed.lost;
+        done = done.max(by_fleet.done.unwrap_or(DAY));
     }
     report.table(
         "Ten servers out in turn around a burst: headroom with three at the most, and three at once",
@@ -197,8 +201,8 @@
     report.at_most("headroom_done_s", done as f64, (DAY - ASKED_AT) as f64 - 1.0);
 }
 
-fn settled(burst: u64, demand: &dyn Fn(u64) -> f64) -> Day {
-    let rules = Rules { out: Amount::Count(3), ..Rules::default() };
+fn day_by_the_fleet(burst: u64, demand: &dyn Fn(u64) -> f64) -> Day {
+    let rules = Rules { max_out: Limit::Count(3), ..Rules::default() };
     let work = WORK * 1000;
     let mut world = World::new(Shape { machines: MACHINES, voters: 5, rules, work, ..Shape::default() }, 5);
     world.witness.thorough = false;
@@ -208,7 +212,7 @@
     for second in 0..DAY {
         world.do_fault(&Fault::Demand(demand(second)));
         if second == ASKED_AT {
-            world.do_fault(&Fault::Ask((0..MACHINES).collect(), Urgency::Routine));
+            world.do_fault(&Fault::RequestWork((0..MACHINES).collect(), Urgency::Routine));
         }
         let _ = world.go(start + (second + 1) * 1_000);
         let lost = day.second(demand(second) * MACHINES as f64, BEARS * world.there() as f64);
@@ -216,7 +220,7 @@
         // Digests that tell of the burst are a few seconds old at the most; what was granted before they came was not
         // granted in it.
         let seen = burst_began + 5_000;
-        if (burst..burst + BURST).contains(&second)
+        if (burst..burst + BURST_SECONDS).contains(&second)
             && world.witness.left.iter().any(|(.., at)| *at > seen && *at + work > world.now)
         {
             day.granted_in_burst += lost;
@@ -230,7 +234,7 @@
 }
 
 /// Three at once, one after the other, whatever is carried: the same cycle of drain, work and warming.
-fn unasked(demand: &dyn Fn(u64) -> f64) -> Day {
+fn day_in_fixed_batches(demand: &dyn Fn(u64) -> f64) -> Day {
     const AWAY: u64 = WORK + 4;
     const CYCLE: u64 = AWAY + 10;
     let groups = MACHINES.div_ceil(3) as u64;
--- a/crates/loomflow-measure/src/owner/simulated.rs
+++ b/crates/loomflow-measure/src/owner/simulated.rs
@@ -1,6 +1,6 @@
 //! What duties cost a large fleet, how they are spread, and how little moves, in virtual time.
 
-use loomflow_fleet::duty::assign::{Candidate, spread};
+use loomflow_fleet::duty::assign::{Candidate, imbalance};
 use loomflow_simulation::{Fault, Script, Shape, World, abreast, cores, world};
 
 use crate::report::Report;
@@ -39,7 +39,7 @@
     const DUTIES: usize = 1_000;
     let quiet = if quick { 20_000 } else { 600_000 };
     let shape = |duties| {
-        let terms = loomflow_fleet::duty::Terms { lease: 10_000, attempts: 5 };
+        let terms = loomflow_fleet::duty::LeaseSettings { lease_millis: 10_000, max_attempts: 5 };
         Shape { machines: MACHINES, voters: 5, zones: 3, duties, terms, ..Shape::default() }
     };
     let traffic = |duties: usize| {
@@ -63,11 +63,12 @@
     let mut both = both.into_iter();
     let (Some((_, without)), Some((mut world, with))) = (both.next(), both.next()) else { return };
     let able: Vec<Candidate> =
-        (0..MACHINES).map(|n| Candidate { name: world::name(n), weight: 1.0, takes: true }).collect();
-    let most = world.leader().and_then(|one| world.machines[one].node.as_ref()?.record()).map(|record| {
-        let bytes = record.duties.save().len();
-        (spread(&record.duties, &able), bytes)
-    });
+        (0..MACHINES).map(|n| Candidate { name: world::name(n), weight: 1.0, can_acquire: true }).collect();
+    let most =
+        world.leader().and_then(|one| world.machines[one].node.as_ref()?.fleet_state()).map(|record| {
+            let bytes = record.duties.save().len();
+            (imbalance(&record.duties, &able), bytes)
+        });
     let (most, bytes) = most.unwrap_or((f64::INFINITY, 0));
     // One that does not vote dies: how much moves.
     let owner = |world: &World, duty: usize| world.owners(&world::duty(duty)).first().copied();
@@ -110,11 +111,11 @@
 }
 
 fn applied(world: &World) -> u64 {
-    let agreement = world.leader().and_then(|one| world.machines[one].node.as_ref()?.agreement());
-    agreement.map_or(0, |agreement| agreement.applied())
+    let consensus = world.leader().and_then(|one| world.machines[one].node.as_ref()?.consensus());
+    consensus.map_or(0, |consensus| consensus.applied_index())
 }
 
 fn last_token(world: &World) -> u64 {
-    let record = world.leader().and_then(|one| world.machines[one].node.as_ref()?.record());
+    let record = world.leader().and_then(|one| world.machines[one].node.as_ref()?.fleet_state());
     record.map_or(0, |record| record.duties.last_token())
 }
--- /dev/null
+++ b/crates/loomflow-server/src/fleet/command/output.rs
@@ -0,0 +1,250 @@
+//! What `loomflow fleet` prints: tables for people.
+
+use comfy_table::{CellAlignment, Table, presets};
+use loomflow_fleet::duty::summary::Summary;
+use loomflow_fleet::duty::{DutyEvent, DutyList, DutyStatus};
+use loomflow_fleet::maintenance::campaign::{CampaignStatus, CampaignView};
+use loomflow_fleet::maintenance::rules::Limit;
+use loomflow_fleet::maintenance::scheduling::Explanation;
+use loomflow_fleet::maintenance::state::TicketEvent;
+use loomflow_fleet::maintenance::ticket::{FleetMillis, Stage, Ticket};
+use loomflow_fleet::maintenance::{MemberRow, Status, SummaryReport};
+use loomflow_fleet::member::{LoadReport, Millis};
+
+/// What stands where there is no value.
+const NONE: &str = "-";
+
+/// A table with some columns aligned to the right.
+fn table(header: &[&str], rows: impl Iterator<Item = Vec<String>>, right_aligned: &[usize]) -> String {
+    let mut table = Table::new();
+    table.load_preset(presets::NOTHING).set_header(header.iter().copied());
+    table.add_rows(rows);
+    for (index, column) in table.column_iter_mut().enumerate() {
+        if right_aligned.contains(&index) {
+            column.set_cell_alignment(CellAlignment::Right);
+        }
+    }
+    table.trim_fmt()
+}
+
+/// A span in whole seconds, such as `1m 20s`.
+fn span(millis: Millis) -> String {
+    humantime::format_duration(std::time::Duration::from_secs(millis / 1000)).to_string()
+}
+
+/// Seconds with one decimal.
+fn seconds(millis: Millis) -> String {
+    format!("{:.1}", millis as f64 / 1000.0)
+}
+
+fn limit(limit: Limit) -> String {
+    match limit {
+        Limit::Count(count) => count.to_string(),
+        Limit::Share(share) => format!("{}%", share * 100.0),
+    }
+}
+
+/// The fleet as one of its members sees it.
+pub fn status(status: &Status) -> String {
+    let mut text = status_header(status);
+    if let Some(reason) = &status.paused {
+        text += &format!("work is paused: {reason}\n");
+    }
+    if let Some(report) = &status.summary {
+        text += &summary(report);
+    }
+    if status.refused_messages > 0 {
+        text += &format!("{} orders of old owners were refused here\n", status.refused_messages);
+    }
+    if let Some(error) = &status.storage_error {
+        text += &format!("this server takes no part in the agreement: {error}\n");
+    }
+    text + &members(status)
+}
+
+fn status_header(status: &Status) -> String {
+    let leader = status.leader.as_deref().unwrap_or("none");
+    let source = if status.is_from_leader { "" } else { " (as seen here, which does not lead)" };
+    let per_zone = status.rules.max_out_per_zone;
+    let per_zone = per_zone.map_or(String::new(), |most| format!(", {} in a zone", limit(most)));
+    let fleet = format!(
+        "fleet {}: {} members, leader {leader}, term {}, log at {}{source}\n",
+        status.fleet,
+        status.members.len(),
+        status.term,
+        status.index,
+    );
+    fleet
+        + &format!(
+            "{} out or about to go, {} may be{per_zone}; {} tickets open; {} left without one\n",
+            status.out,
+            limit(status.rules.max_out),
+            status.open,
+            status.drains_without_ticket,
+        )
+}
+
+fn summary(report: &SummaryReport) -> String {
+    let Summary { members, serving, carried_load, capacity, share, fullest_zones, .. } = &report.summary;
+    let fullest: Vec<String> =
+        fullest_zones.iter().map(|(zone, fill)| format!("{zone} {:.0}%", fill * 100.0)).collect();
+    format!(
+        "summed up {} s ago by {} (token {}): {serving} of {members} serve, {carried_load:.1} of {capacity:.1} runs at \
+         once, share {share:.2}, fullest {}\n",
+        seconds(report.age_millis),
+        report.owner,
+        report.token,
+        fullest.join(", "),
+    )
+}
+
+fn members(status: &Status) -> String {
+    let mut members: Vec<&MemberRow> = status.members.iter().collect();
+    members.sort_by_key(|member| (&member.zone, &member.name));
+    let header = ["zone", "server", "role", "state", "ticket", "share", "hold/aim", "runs", "limit", "age s"];
+    let rows = members.into_iter().map(|member| member_row(member, status.leader.as_ref()));
+    table(&header, rows, &[5, 6, 7, 8, 9])
+}
+
+fn member_row(member: &MemberRow, leader: Option<&String>) -> Vec<String> {
+    let figure = |of: fn(&LoadReport) -> f32| {
+        member.load_report.as_ref().map_or(NONE.into(), |report| format!("{:.2}", of(report)))
+    };
+    let ticket = member.ticket.map_or(NONE.into(), |(id, stage)| format!("{id} {}", stage.as_str()));
+    let role = match (member.is_voter, Some(&member.name) == leader) {
+        (_, true) => "leader",
+        (true, _) => "voter",
+        _ => "",
+    };
+    vec![
+        member.zone.clone(),
+        member.name.clone(),
+        role.into(),
+        member.state.as_str().into(),
+        ticket,
+        figure(|report| report.share),
+        figure(|report| report.hold_time_ratio),
+        figure(|report| report.running),
+        figure(|report| report.limit),
+        member.report_age_millis.map_or(NONE.into(), seconds),
+    ]
+}
+
+/// Open tickets. `now`: the fleet's time, where it is known.
+pub fn tickets(tickets: &[Ticket], now: Option<FleetMillis>) -> String {
+    let rows = tickets.iter().map(|ticket| {
+        vec![
+            ticket.id.to_string(),
+            ticket.request.server.clone(),
+            ticket.request.zone.clone(),
+            ticket.stage.as_str().into(),
+            now.map_or(NONE.into(), |now| span(now.saturating_sub(ticket.since))),
+            format!("{:?}", ticket.request.urgency).to_lowercase(),
+            span(ticket.request.duration_millis),
+            ticket.requested_by.clone(),
+            ticket.request.reason.clone(),
+        ]
+    });
+    table(&["ticket", "server", "zone", "state", "since", "urgency", "for", "by", "reason"], rows, &[0])
+}
+
+/// The history of tickets.
+pub fn ticket_events(events: &[TicketEvent]) -> String {
+    let rows = events.iter().map(|event| {
+        vec![
+            seconds(event.at),
+            event.ticket.to_string(),
+            event.server.clone(),
+            event.stage.as_str().into(),
+            if event.grant > 0 { event.grant.to_string() } else { NONE.into() },
+        ]
+    });
+    table(&["at s", "ticket", "server", "came to", "grant"], rows, &[0, 1])
+}
+
+/// Why a server waits.
+pub fn explanation(explanation: &Explanation) -> String {
+    let server = &explanation.server;
+    let state = explanation.state.map_or("not known to the fleet", |state| state.as_str());
+    let mut text = match explanation.ticket {
+        None => format!("{server}: {state}, no ticket is open\n"),
+        Some((id, stage)) => format!("{server}: {state}, ticket {id} {}\n", stage.as_str()),
+    };
+    for finding in &explanation.findings {
+        let result = if finding.is_satisfied { "holds" } else { "WAITS" };
+        text += &format!("  {result} {finding}\n");
+    }
+    let estimate = &explanation.estimate;
+    text += &format!(
+        "  without it: {:.1} runs at once now, {:.1} the most of the last minutes; those who stay bear {:.1}\n",
+        estimate.current_load, estimate.peak_load, estimate.remaining_capacity
+    );
+    text
+}
+
+/// All duties.
+pub fn duties(list: &DutyList) -> String {
+    let rows = list.duties.iter().map(|duty| {
+        let owner = duty.owner.as_ref().map_or(NONE.into(), |owner| owner.name.clone());
+        vec![
+            duty.duty.clone(),
+            owner,
+            duty.token.to_string(),
+            duty_state(duty),
+            span(list.time.saturating_sub(duty.since)),
+            if duty.last_run > 0 { duty.last_run.to_string() } else { NONE.into() },
+            duty.recent_failures.len().to_string(),
+            duty.refused_writes.to_string(),
+        ]
+    });
+    let header = ["duty", "owner", "token", "state", "since", "last run", "strikes", "refused"];
+    table(&header, rows, &[2, 6, 7]) + "\n"
+}
+
+fn duty_state(duty: &DutyStatus) -> String {
+    match (&duty.parked, &duty.owner) {
+        (Some(reason), _) => format!("parked: {reason}"),
+        (None, Some(_)) if duty.is_recalled => "to be handed over".into(),
+        (None, Some(_)) if duty.has_unfinished_run => format!("runs {}", duty.last_run),
+        (None, Some(_)) => "owned".into(),
+        (None, None) => "free".into(),
+    }
+}
+
+/// The history of duties.
+pub fn duty_events(events: &[DutyEvent]) -> String {
+    let rows = events.iter().map(|event| {
+        vec![
+            seconds(event.at),
+            event.duty.clone(),
+            event.token.to_string(),
+            event.owner.clone(),
+            event.kind.as_str().into(),
+            event.detail.clone(),
+        ]
+    });
+    table(&["at s", "duty", "token", "owner", "what", "detail"], rows, &[0, 2])
+}
+
+/// All campaigns.
+pub fn campaigns(views: &[CampaignView]) -> String {
+    let rows = views.iter().map(|view| {
+        let last_batch = view
+            .last_batch
+            .iter()
+            .map(|(server, stage)| format!("{server} {}", stage.map_or("long over", Stage::as_str)));
+        let status = match &view.status {
+            CampaignStatus::Running => "runs".into(),
+            CampaignStatus::Halted(reason) => format!("halted: {reason}"),
+            CampaignStatus::Done => "done".into(),
+        };
+        vec![
+            view.name.clone(),
+            status,
+            format!("{} of {}", view.next_index, view.total),
+            last_batch.collect::<Vec<_>>().join(", "),
+            view.requested_by.clone(),
+        ]
+    });
+    table(&["campaign", "state", "asked", "last batch", "by"], rows, &[2])
+}
--- /dev/null
+++ b/crates/loomflow-server/src/fleet/command/progress.rs
@@ -0,0 +1,140 @@
+//! Waiting for tickets: `work watch` and `work wait`.
+
+use std::collections::BTreeSet;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use indicatif::{ProgressBar, ProgressStyle};
+use loomflow_fleet::maintenance::ticket::{Stage, Ticket, TicketId};
+
+use super::client::{Client, TicketLists};
+use super::error::CommandError;
+
+/// How often the fleet is asked.
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// Failed polls in a row after which the command fails.
+const MAX_FAILED_POLLS: usize = 40;
+/// Failed polls in a row after which a server that drains counts as gone: it may be the one that is asked.
+const FAILED_POLLS_OF_GONE: usize = 4;
+
+const EXIT_DRAINED: u8 = 0;
+const EXIT_MAY_NOT_GO: u8 = 3;
+const EXIT_SUPERSEDED: u8 = 4;
+
+/// Shows a bar until no ticket is open. A leader that changes meanwhile is waited for.
+pub fn watch(client: &Client) -> Result<ExitCode, CommandError> {
+    let bar = ProgressBar::new(0);
+    let style = ProgressStyle::with_template("{bar:30} {pos}/{len} done  {msg}");
+    bar.set_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()));
+    let mut seen: BTreeSet<TicketId> = BTreeSet::new();
+    let mut failed_polls = 0;
+    loop {
+        match client.tickets() {
+            Ok(TicketLists { open, .. }) => {
+                failed_polls = 0;
+                seen.extend(open.iter().map(|ticket| ticket.id));
+                bar.set_length(seen.len() as u64);
+                bar.set_position((seen.len() - open.len()) as u64);
+                bar.set_message(servers_out(&open));
+                if open.is_empty() {
+                    bar.finish();
+                    return Ok(ExitCode::SUCCESS);
+                }
+            }
+            Err(error) if failed_polls >= MAX_FAILED_POLLS => return Err(error),
+            Err(error) => {
+                failed_polls += 1;
+                bar.set_message(error.to_string());
+            }
+        }
+        std::thread::sleep(POLL_INTERVAL);
+    }
+}
+
+fn servers_out(open: &[Ticket]) -> String {
+    let out = open.iter().filter(|ticket| ticket.stage.holds_place());
+    let out = out.map(|ticket| format!("{} {}", ticket.request.server, ticket.stage.as_str()));
+    out.collect::<Vec<_>>().join(", ")
+}
+
+/// How a wait ended: the exit code, and what is printed.
+type Outcome = (u8, &'static str);
+
+/// Waits for a server's ticket.
+struct Wait<'a> {
+    client: &'a Client,
+    server: &'a str,
+    /// The first ticket that was open, whatever is requested later.
+    ticket: Option<TicketId>,
+    has_begun: bool,
+    failed_polls: usize,
+}
+
+/// For a script before a reboot: waits until the server has drained.
+pub fn wait(client: &Client, server: &str, timeout: Duration) -> Result<ExitCode, CommandError> {
+    let deadline = Instant::now() + timeout;
+    let mut wait = Wait { client, server, ticket: None, has_begun: false, failed_polls: 0 };
+    let mut outcome = (EXIT_MAY_NOT_GO, "it was not its turn in time");
+    while Instant::now() < deadline {
+        if let Some(reached) = wait.poll()? {
+            outcome = reached;
+            break;
+        }
+        std::thread::sleep(POLL_INTERVAL);
+    }
+    let (code, message) = outcome;
+    println!("{server}: {message}");
+    Ok(ExitCode::from(code))
+}
+
+impl Wait<'_> {
+    fn poll(&mut self) -> Result<Option<Outcome>, CommandError> {
+        match self.client.tickets() {
+            Ok(tickets) => {
+                self.failed_polls = 0;
+                Ok(self.outcome(&tickets))
+            }
+            // The server that is asked may be the one that goes: its socket ends with it.
+            Err(_) if self.has_begun && !self.client.is_reachable() => {
+                self.failed_polls += 1;
+                let is_gone = self.failed_polls >= FAILED_POLLS_OF_GONE;
+                Ok(is_gone.then_some((EXIT_DRAINED, "drained, and gone")))
+            }
+            Err(error) => {
+                self.failed_polls += 1;
+                if self.failed_polls >= MAX_FAILED_POLLS { Err(error) } else { Ok(None) }
+            }
+        }
+    }
+
+    /// The outcome by the stage of the ticket; none where it is waited on.
+    fn outcome(&mut self, tickets: &TicketLists) -> Option<Outcome> {
+        let Some((stage, has_returned)) = self.find(tickets) else {
+            return Some((EXIT_MAY_NOT_GO, "no ticket of it is open"));
+        };
+        match stage {
+            Stage::Requested | Stage::Granted => None,
+            Stage::Begun | Stage::Draining => {
+                self.has_begun = true;
+                None
+            }
+            Stage::Out => Some((EXIT_DRAINED, "drained")),
+            Stage::Overdue if !has_returned => Some((EXIT_DRAINED, "drained, and overdue")),
+            Stage::Withdrawn => Some((EXIT_MAY_NOT_GO, "its ticket was withdrawn")),
+            Stage::Lapsed => Some((EXIT_MAY_NOT_GO, "its ticket lapsed")),
+            _ => Some((EXIT_SUPERSEDED, "its turn is past")),
+        }
+    }
+
+    /// The stage of the ticket that is waited for, and whether its server has come back.
+    fn find(&mut self, tickets: &TicketLists) -> Option<(Stage, bool)> {
+        let is_own = |ticket: &&Ticket| {
+            ticket.request.server == self.server && self.ticket.is_none_or(|id| id == ticket.id)
+        };
+        let closed = || tickets.closed.iter().filter(|_| self.ticket.is_some()).find(is_own);
+        let ticket = tickets.open.iter().find(is_own).or_else(closed)?;
+        let found = (ticket.stage, ticket.returned_incarnation != 0);
+        self.ticket = Some(ticket.id);
+        Some(found)
+    }
+}
--- /dev/null
+++ b/crates/loomflow-server/src/fleet/driver.rs
@@ -0,0 +1,218 @@
+//! The fleet's thread: waits for sockets and timers, feeds the member, and carries out what it wants done.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::mpsc::SyncSender;
+use std::time::Duration;
+
+use loomflow_fleet::member::Millis;
+use loomflow_fleet::node::{BootstrapError, Effect, Node};
+use loomflow_fleet::operator::{OperatorRequest, OperatorResponse, OwnedDuty};
+use mio::event::Event;
+use mio::{Events, Poll, Token};
+
+use super::jobs::Jobs;
+use super::links::Links;
+use super::operator_socket::{OperatorSocket, RequestError};
+use super::{Inbox, LISTENER, OPERATORS, OwnerMessages, boot_millis};
+use crate::log;
+use crate::mailbox::{Input, Mailbox};
+
+/// Longest sleep: the clock is looked at as often.
+pub const LONGEST_SLEEP: Duration = Duration::from_millis(200);
+/// The same while a job that was told to end has not ended.
+const SLEEP_WHILE_TERMINATING: Duration = Duration::from_millis(10);
+const MAX_EVENTS: usize = 256;
+
+pub const WAKE: Token = Token(0);
+
+/// The end of the thread: the owner waits for it until the deadline.
+struct Shutdown {
+    done: SyncSender<()>,
+    deadline: Millis,
+}
+
+/// The thread's state.
+pub struct Driver {
+    poll: Poll,
+    links: Links,
+    operators: OperatorSocket,
+    inbox: Arc<Inbox>,
+    node: Node,
+    mailbox: Arc<Mailbox>,
+    jobs: Jobs,
+    shutdown_timeout: Duration,
+    shutdown: Option<Shutdown>,
+}
+
+impl Driver {
+    // Its parts are set up one by one in `Fleet::start`, where each can fail.
+    #[allow(clippy::too_many_arguments)]
+    pub fn new(
+        poll: Poll,
+        links: Links,
+        operators: OperatorSocket,
+        inbox: Arc<Inbox>,
+        node: Node,
+        mailbox: Arc<Mailbox>,
+        jobs: Jobs,
+        shutdown_timeout: Duration,
+    ) -> Driver {
+        Driver { poll, links, operators, inbox, node, mailbox, jobs, shutdown_timeout, shutdown: None }
+    }
+
+    /// Runs until the server has drained, or the poller fails.
+    pub fn run(mut self) {
+        let mut events = Events::with_capacity(MAX_EVENTS);
+        loop {
+            let now = boot_millis();
+            if now >= self.node.next_wake() {
+                self.node.tick(now);
+            }
+            self.jobs.tick(&mut self.node, now);
+            self.carry_out_effects(now);
+            if let Some(done) = self.finished(now) {
+                return self.shut_down(&done, now);
+            }
+            if let Err(error) = self.wait(&mut events, now) {
+                let why = error.to_string();
+                log!(part = "fleet", why, "the fleet is no longer heard, and the server goes on without it");
+                return;
+            }
+            let now = boot_millis();
+            for event in &events {
+                self.handle_event(event, now);
+            }
+            self.take_owner_messages(now);
+            self.links.sweep(now);
+        }
+    }
+
+    /// Whom to tell, once everything is reported or the deadline has passed.
+    fn finished(&self, now: Millis) -> Option<SyncSender<()>> {
+        let shutdown = self.shutdown.as_ref()?;
+        (self.node.is_finished() || now >= shutdown.deadline).then(|| shutdown.done.clone())
+    }
+
+    fn shut_down(&mut self, done: &SyncSender<()>, now: Millis) {
+        self.jobs.terminate_all();
+        self.node.leave(now);
+        self.carry_out_effects(now);
+        self.links.flush();
+        let _ = done.try_send(());
+    }
+
+    fn wait(&mut self, events: &mut Events, now: Millis) -> io::Result<()> {
+        let until_wake = Duration::from_millis(self.node.next_wake().saturating_sub(now).max(1));
+        let longest = if self.jobs.is_terminating() { SLEEP_WHILE_TERMINATING } else { LONGEST_SLEEP };
+        match self.poll.poll(events, Some(until_wake.min(longest))) {
+            Err(error) if error.kind() != io::ErrorKind::Interrupted => Err(error),
+            _ => Ok(()),
+        }
+    }
+
+    fn handle_event(&mut self, event: &Event, now: Millis) {
+        match event.token() {
+            WAKE => {}
+            LISTENER => self.links.accept(self.poll.registry(), now),
+            OPERATORS => self.operators.accept(self.poll.registry()),
+            token if self.operators.is_connection(token) => {
+                if let Some(request) = self.operators.ready(token) {
+                    self.handle_operator(token, request, now);
+                }
+            }
+            token => self.handle_link(token, event.is_readable() || event.is_read_closed(), now),
+        }
+    }
+
+    /// Bytes of another member, or room to write to it.
+    fn handle_link(&mut self, token: Token, is_readable: bool, now: Millis) {
+        let node = &mut self.node;
+        let mut handle_message = |bytes: &[u8]| node.handle_message(bytes, now);
+        let ended = self.links.ready(token, is_readable, now, self.poll.registry(), &mut handle_message);
+        if let Some(why) = ended {
+            log!(part = "fleet", why, "a link was ended");
+        }
+    }
+
+    fn take_owner_messages(&mut self, now: Millis) {
+        let messages = {
+            let mut inbox = self.inbox.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+            std::mem::take(&mut *inbox)
+        };
+        let OwnerMessages { load_report, is_draining, drained } = messages;
+        if let Some(load_report) = load_report {
+            self.node.set_load(now, load_report);
+        }
+        if is_draining {
+            self.node.begin_drain(now);
+        }
+        if let Some(done) = drained {
+            self.node.drained(now);
+            let deadline = now + self.shutdown_timeout.as_millis() as Millis;
+            self.shutdown = Some(Shutdown { done, deadline });
+        }
+    }
+
+    fn handle_operator(
+        &mut self,
+        connection: Token,
+        request: Result<OperatorRequest, RequestError>,
+        now: Millis,
+    ) {
+        let done = |result: Result<(), BootstrapError>| match result {
+            Ok(()) => OperatorResponse::Done,
+            Err(error) => OperatorResponse::Error(error.to_string()),
+        };
+        let response = match request {
+            Err(error) => OperatorResponse::Error(error.to_string()),
+            Ok(OperatorRequest::LocalStatus) => {
+                OperatorResponse::LocalStatus(Box::new(self.node.status(now)))
+            }
+            Ok(OperatorRequest::Fleet(request)) => {
+                let id = self.node.submit(request, now);
+                return self.operators.await_response(connection, id);
+            }
+            Ok(OperatorRequest::Bootstrap) => done(self.node.bootstrap(now)),
+            Ok(OperatorRequest::Recover) => done(self.node.recover(now)),
+            Ok(OperatorRequest::CheckOwnership(duty)) => self.check_ownership(&duty, now),
+            Ok(OperatorRequest::WorkEnded(duty)) => {
+                self.jobs.external_work_ended(&duty, &mut self.node, now);
+                OperatorResponse::Done
+            }
+        };
+        self.operators.respond(connection, &response);
+    }
+
+    /// For the process on this machine that does a duty's work.
+    fn check_ownership(&mut self, duty: &str, now: Millis) -> OperatorResponse {
+        let Some(token) = self.node.owned_token(duty, now) else { return OperatorResponse::NotOwned };
+        self.jobs.external_work_seen(duty, now);
+        let grant = self.node.grant(duty);
+        OperatorResponse::Owned(OwnedDuty {
+            token,
+            remaining_millis: self.node.owned_until().saturating_sub(now),
+            is_recalled: grant.is_some_and(|grant| grant.is_recalled),
+            lease_settings: self.node.lease_settings(),
+            checkpoint: grant.map(|grant| grant.checkpoint.clone()).unwrap_or_default(),
+        })
+    }
+
+    fn carry_out_effects(&mut self, now: Millis) {
+        for effect in self.node.take_effects() {
+            match effect {
+                Effect::Send { address, bytes, .. } => {
+                    self.links.send(address, bytes, now, self.poll.registry());
+                }
+                Effect::Drain(_) => self.mailbox.put(Input::Leave),
+                Effect::Responded(id, response) => {
+                    if !self.jobs.write_answered(id, &response, &mut self.node, now) {
+                        self.operators.deliver(id, &OperatorResponse::Response(response));
+                    }
+                }
+                Effect::Duty(change) => self.jobs.ownership_changed(change, &mut self.node, now),
+                Effect::Log(text) => log!(part = "fleet", "{text}"),
+            }
+        }
+    }
+}
--- a/crates/loomflow-server/src/fleet/jobs.rs
+++ b/crates/loomflow-server/src/fleet/jobs.rs
@@ -1,225 +1,269 @@
 //! The operators' jobs on this server: each run is a process of this same program, `loomflow fleet duty run`, which starts the
-//! job, asks for its ownership again and again, and ends it before the lease can be over, whatever becomes of this server.
-//! What is decided is decided in `loomflow_fleet::duty::job`; here are the processes.
+//! job, asks for its ownership again and again, and ends it before the lease can expire, whatever becomes of this server. What
+//! is decided is decided in `loomflow_fleet::duty::job`; here are the processes.
 
 use std::collections::BTreeMap;
+use std::io;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use loomflow_fleet::duty::job::{Act, Exit, Runs};
-use loomflow_fleet::duty::tenure::Change;
-use loomflow_fleet::duty::{Answer, DutyName, Note, Token};
-use loomflow_fleet::member::{Ms, RequestId};
+use loomflow_fleet::duty::client_session::OwnershipChange;
+use loomflow_fleet::duty::job::{Exit, JobAction, JobRuns};
+use loomflow_fleet::duty::{self, DutyName, Grant, OwnerUpdate, Token};
+use loomflow_fleet::maintenance::Response;
+use loomflow_fleet::member::{Millis, RequestId};
 use loomflow_fleet::node::Node;
 use loomflow_settings::duties::{Duties as Options, Job};
 use rustix::process::{Pid, Signal, kill_process};
 
-use super::duty_command::{GAVE_UP, NEVER_OWNED};
+use super::command::{EXIT_NEVER_OWNED, EXIT_OWNERSHIP_LOST};
 use crate::log;
 
-/// Whoever does a duty's work by hand asks at least so often; one that was silent for longer is gone, ms.
-const SILENT: Ms = 2_000;
+/// Whoever does a duty's work outside of this server asks at least so often; one that is silent for longer has ended, ms.
+const EXTERNAL_WORK_TIMEOUT: Millis = 2_000;
 
-struct One {
-    runs: Runs,
+/// Why the process of a run cannot be started.
+#[derive(Debug, thiserror::Error)]
+enum StartError {
+    #[error("it has no program")]
+    NoProgram,
+    #[error(transparent)]
+    OwnProgram(io::Error),
+    #[error("{program}: {source}")]
+    Spawn { program: String, source: io::Error },
+}
+
+/// A duty that this server owns and has a program for.
+struct OwnedJob {
+    runs: JobRuns,
     child: Option<Child>,
 }
 
+/// What the answer to a write is about.
+struct PendingWrite {
+    duty: DutyName,
+    token: Token,
+    /// Whether it says that a run begins.
+    is_begin: bool,
+}
+
+/// The operators' jobs on this server.
 pub struct Jobs {
-    /// Those with a program, where programs are switched on.
-    set: BTreeMap<DutyName, Job>,
-    at_work: BTreeMap<DutyName, One>,
+    /// Jobs with a program, where programs are switched on.
+    configured: BTreeMap<DutyName, Job>,
+    owned: BTreeMap<DutyName, OwnedJob>,
     /// Processes of former tokens that have not ended yet.
-    former: Vec<Child>,
-    /// Runs whose beginning or end is on its way into the record.
-    writes: BTreeMap<RequestId, (DutyName, Token, bool)>,
-    /// Duties whose work somebody does by hand, with when they last asked.
-    by_hand: BTreeMap<DutyName, Ms>,
+    former_children: Vec<Child>,
+    pending_writes: BTreeMap<RequestId, PendingWrite>,
+    /// Duties whose work is done outside of this server, with when that was last seen.
+    external_work: BTreeMap<DutyName, Millis>,
     socket: PathBuf,
 }
 
 impl Jobs {
+    /// The jobs of the options; `socket` is the operators', for the processes.
     pub fn new(options: Option<&Options>, socket: &Path) -> Jobs {
         let with_program = |options: &Options| {
             let jobs = options.jobs.iter().filter(|job| options.programs && !job.run.is_empty());
             jobs.map(|job| (job.name.clone(), job.clone())).collect()
         };
         Jobs {
-            set: options.map(with_program).unwrap_or_default(),
-            at_work: BTreeMap::new(),
-            former: Vec::new(),
-            writes: BTreeMap::new(),
-            by_hand: BTreeMap::new(),
+            configured: options.map(with_program).unwrap_or_default(),
+            owned: BTreeMap::new(),
+            former_children: Vec::new(),
+            pending_writes: BTreeMap::new(),
+            external_work: BTreeMap::new(),
             socket: socket.to_owned(),
         }
     }
 
-    /// Whether a process is about to end, so that it is to be looked at soon.
-    pub fn is_ending(&self) -> bool {
-        self.at_work.values().any(|one| one.child.is_some() && one.runs.is_ending())
+    /// Whether a process was asked to end, so that it is to be looked at soon.
+    pub fn is_terminating(&self) -> bool {
+        self.owned.values().any(|job| job.child.is_some() && job.runs.is_terminating())
     }
 
-    /// A duty came, is to go, or is gone.
-    pub fn changed(&mut self, change: Change, node: &mut Node, now: Ms) {
+    /// A duty was acquired, is to be released, or is lost.
+    pub fn ownership_changed(&mut self, change: OwnershipChange, node: &mut Node, now: Millis) {
         match change {
-            Change::Took(grant) if self.set.contains_key(&grant.duty) => {
-                // One of a former token may still be ending: its process sees that it is not the owner any more.
-                let one = One { runs: Runs::new(&grant), child: None };
-                if let Some(child) = self.at_work.insert(grant.duty, one).and_then(|before| before.child) {
-                    // By a word and not by force: it ends the job's group before itself.
-                    signal(&child, Signal::TERM);
-                    self.former.push(child);
-                }
+            OwnershipChange::Acquired(grant) if self.configured.contains_key(&grant.duty) => {
+                self.acquire(grant);
             }
-            Change::Took(_) => {}
-            Change::HandOver(duty, _) if self.at_work.contains_key(&duty) => {}
-            Change::HandOver(duty, _) => {
-                if self.by_hand.get(&duty).is_none_or(|at| now > at + SILENT) {
+            OwnershipChange::Acquired(_) => {}
+            OwnershipChange::ReleaseRequested(duty, _) if self.owned.contains_key(&duty) => {}
+            OwnershipChange::ReleaseRequested(duty, _) => {
+                let last_seen = self.external_work.get(&duty);
+                if last_seen.is_none_or(|at| now > at + EXTERNAL_WORK_TIMEOUT) {
                     node.release(&duty, now);
                 }
             }
-            Change::Lost(duty, _) => drop(self.by_hand.remove(&duty)),
+            OwnershipChange::Lost(duty, _) => drop(self.external_work.remove(&duty)),
+        }
+    }
+
+    fn acquire(&mut self, grant: Grant) {
+        // A process of a former token may still be ending: it sees that it is not the owner's any more.
+        let job = OwnedJob { runs: JobRuns::new(&grant), child: None };
+        let former = self.owned.insert(grant.duty, job).and_then(|former| former.child);
+        if let Some(child) = former {
+            // By a signal that it handles: it ends the job's group before itself.
+            send_signal(&child, Signal::TERM);
+            self.former_children.push(child);
         }
     }
 
-    /// Somebody asks whether this server owns a duty, to do its work by hand.
-    pub fn by_hand(&mut self, duty: &str, now: Ms) {
-        self.by_hand.insert(duty.to_owned(), now);
+    /// Somebody asks whether this server owns a duty, to do its work.
+    pub fn external_work_seen(&mut self, duty: &str, now: Millis) {
+        self.external_work.insert(duty.to_owned(), now);
     }
 
-    /// Whoever did a duty's work by hand has ended.
-    pub fn let_go(&mut self, duty: &str, node: &mut Node, now: Ms) {
-        self.by_hand.remove(duty);
-        if node.grant(duty).is_some_and(|grant| grant.recalled) {
+    /// Whoever did a duty's work outside of this server has ended.
+    pub fn external_work_ended(&mut self, duty: &str, node: &mut Node, now: Millis) {
+        self.external_work.remove(duty);
+        if node.grant(duty).is_some_and(|grant| grant.is_recalled) {
             node.release(duty, now);
         }
     }
 
-    /// An answer to something that was written down; true where it was one.
-    pub fn answered(
+    /// Handles the response to a write; true where it was one.
+    pub fn write_answered(
         &mut self,
         id: RequestId,
-        answer: &loomflow_fleet::order::Answer,
+        response: &Response,
         node: &mut Node,
-        now: Ms,
+        now: Millis,
     ) -> bool {
-        let Some((duty, token, began)) = self.writes.remove(&id) else { return false };
-        if began && let Some(one) = self.at_work.get_mut(&duty).filter(|one| one.runs.token == token) {
-            let answer = match answer {
-                loomflow_fleet::order::Answer::Duty(Answer::Done) => Some(Ok(())),
-                loomflow_fleet::order::Answer::Duty(Answer::Refused(why)) => Some(Err(why.clone())),
+        let Some(PendingWrite { duty, token, is_begin }) = self.pending_writes.remove(&id) else {
+            return false;
+        };
+        let job = self.owned.get_mut(&duty).filter(|job| is_begin && job.runs.token == token);
+        if let Some(job) = job {
+            let result = match response {
+                Response::Duty(duty::Response::Done) => Some(Ok(())),
+                Response::Duty(duty::Response::Refused(refusal)) => Some(Err(refusal.clone())),
                 _ => None,
             };
-            // A grant whose time is over is none.
-            let grant = node.owns(&duty, now).and_then(|_| node.grant(&duty)).cloned();
-            let act = one.runs.written(answer.as_ref(), grant.as_ref(), now);
-            self.carry_out(&duty, act, node, now);
+            let grant = valid_grant(node, &duty, now);
+            let action = job.runs.begin_answered(result.as_ref(), grant.as_ref(), now);
+            self.carry_out(&duty, action, node, now);
         }
         true
     }
 
-    /// Begins what is due, and sees to what has ended.
-    pub fn tick(&mut self, node: &mut Node, now: Ms) {
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
-        let duties: Vec<DutyName> = self.at_work.keys().cloned().collect();
+    /// Begins what is due, and handles processes that have ended.
+    pub fn tick(&mut self, node: &mut Node, now: Millis) {
+        let unix_time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let duties: Vec<DutyName> = self.owned.keys().cloned().collect();
         for duty in duties {
-            let Some(one) = self.at_work.get_mut(&duty) else { continue };
-            let exit = match &mut one.child {
-                Some(child) => child.try_wait().ok().flatten().map(|status| match status.code() {
-                    Some(0) => Exit::Done,
-                    Some(code) if code == i32::from(GAVE_UP) || code == i32::from(NEVER_OWNED) => {
-                        Exit::GaveUp
-                    }
-                    _ => Exit::Failed(status.to_string()),
-                }),
-                None => None,
-            };
-            if let Some(exit) = exit {
-                one.child = None;
-                let act = one.runs.ended(exit, now);
-                self.carry_out(&duty, act, node, now);
-            }
-            let grant = node.owns(&duty, now).and_then(|_| node.grant(&duty)).cloned();
-            let Some(one) = self.at_work.get_mut(&duty) else { continue };
-            let act = one.runs.step(grant.as_ref(), now, wall);
-            if grant.is_none() && !one.runs.is_running() {
-                self.at_work.remove(&duty);
-            }
-            self.carry_out(&duty, act, node, now);
+            self.reap(&duty, node, now);
+            self.advance(&duty, node, now, unix_time.as_secs());
+        }
+        self.former_children.retain_mut(|child| matches!(child.try_wait(), Ok(None)));
+        let is_silent = |at: Millis| now > at + EXTERNAL_WORK_TIMEOUT;
+        let silent = self.external_work.iter().filter(|(_, at)| is_silent(**at));
+        let silent: Vec<DutyName> = silent.map(|(duty, _)| duty.clone()).collect();
+        for duty in silent {
+            self.external_work_ended(&duty, node, now);
+        }
+    }
+
+    /// Handles the end of a duty's process.
+    fn reap(&mut self, duty: &DutyName, node: &mut Node, now: Millis) {
+        let Some(job) = self.owned.get_mut(duty) else { return };
+        let Some(Ok(Some(status))) = job.child.as_mut().map(Child::try_wait) else { return };
+        job.child = None;
+        let action = job.runs.process_ended(exit(status), now);
+        self.carry_out(duty, action, node, now);
+    }
+
+    /// Does what a duty calls for now.
+    fn advance(&mut self, duty: &DutyName, node: &mut Node, now: Millis, unix_seconds: u64) {
+        let grant = valid_grant(node, duty, now);
+        let Some(job) = self.owned.get_mut(duty) else { return };
+        let action = job.runs.step(grant.as_ref(), now, unix_seconds);
+        if grant.is_none() && !job.runs.is_running() {
+            self.owned.remove(duty);
         }
-        self.former.retain_mut(|child| matches!(child.try_wait(), Ok(None)));
-        // Whoever asked by hand and is silent has gone: what waits for it is handed over.
-        let silent: Vec<DutyName> =
-            self.by_hand.iter().filter(|(_, at)| now > **at + SILENT).map(|(duty, _)| duty.clone()).collect();
-        silent.iter().for_each(|duty| self.let_go(duty, node, now));
+        self.carry_out(duty, action, node, now);
     }
 
-    fn carry_out(&mut self, duty: &DutyName, act: Option<Act>, node: &mut Node, now: Ms) {
-        let Some(one) = self.at_work.get_mut(duty) else { return };
-        match act {
+    fn carry_out(&mut self, duty: &DutyName, action: Option<JobAction>, node: &mut Node, now: Millis) {
+        let Some(job) = self.owned.get_mut(duty) else { return };
+        match action {
             None => {}
-            Some(Act::Write(note)) => {
-                let began = matches!(note, Note::Began(_));
-                let token = one.runs.token;
-                let id = node.write(duty, token, note, now);
-                self.writes.insert(id, (duty.clone(), token, began));
+            Some(JobAction::Write(update)) => {
+                let is_begin = matches!(update, OwnerUpdate::Began(_));
+                let token = job.runs.token;
+                let id = node.write(duty, token, update, now);
+                self.pending_writes.insert(id, PendingWrite { duty: duty.clone(), token, is_begin });
             }
-            Some(Act::Start(run)) => match self.start(duty) {
+            Some(JobAction::Start(run)) => match self.start(duty) {
                 Ok(child) => {
                     log!(part = "fleet", duty = duty.as_str(), run, "a run begins");
-                    if let Some(one) = self.at_work.get_mut(duty) {
-                        one.child = Some(child);
+                    if let Some(job) = self.owned.get_mut(duty) {
+                        job.child = Some(child);
                     }
                 }
-                Err(why) => {
-                    let act =
-                        self.at_work.get_mut(duty).and_then(|one| one.runs.ended(Exit::Failed(why), now));
-                    self.carry_out(duty, act, node, now);
+                Err(error) => {
+                    let exit = Exit::Failed(error.to_string());
+                    let job = self.owned.get_mut(duty);
+                    let action = job.and_then(|job| job.runs.process_ended(exit, now));
+                    self.carry_out(duty, action, node, now);
                 }
             },
-            Some(Act::Term) => {
-                if let Some(child) = &one.child {
-                    signal(child, Signal::TERM);
+            Some(JobAction::Terminate) => {
+                if let Some(child) = &job.child {
+                    send_signal(child, Signal::TERM);
                 }
             }
-            Some(Act::Release) => {
-                self.at_work.remove(duty);
+            Some(JobAction::Release) => {
+                self.owned.remove(duty);
                 node.release(duty, now);
             }
         }
     }
 
-    /// Errors: the process cannot be started, in words.
-    fn start(&self, duty: &str) -> Result<Child, String> {
-        let job = self.set.get(duty).ok_or("it has no program")?;
-        let program = std::env::current_exe().map_err(|e| e.to_string())?;
-        let token = self.at_work.get(duty).map_or(0, |one| one.runs.token);
+    /// Starts the process of a run.
+    fn start(&self, duty: &str) -> Result<Child, StartError> {
+        let job = self.configured.get(duty).ok_or(StartError::NoProgram)?;
+        let program = std::env::current_exe().map_err(StartError::OwnProgram)?;
+        let token = self.owned.get(duty).map_or(0, |job| job.runs.token).to_string();
+        let max_duration = format!("{}s", job.longest().as_secs());
         Command::new(program)
             .args(["fleet", "duty", "run", duty, "--socket"])
             .arg(&self.socket)
-            .args([
-                "--token",
-                &token.to_string(),
-                "--longest",
-                &format!("{}s", job.longest().as_secs()),
-                "--",
-            ])
+            .args(["--token", &token, "--longest", &max_duration, "--"])
             .args(&job.run)
             .stdin(Stdio::null())
             .spawn()
-            .map_err(|e| format!("{}: {e}", job.run[0]))
+            .map_err(|source| StartError::Spawn { program: job.run[0].clone(), source })
     }
 
-    /// The server ends: what still runs is told so, and ends by itself at the latest with the lease.
-    pub fn end(&mut self) {
-        for child in self.at_work.values().filter_map(|one| one.child.as_ref()) {
-            signal(child, Signal::TERM);
+    /// The server ends: every process is asked to end, and does so by itself at the latest with the lease.
+    pub fn terminate_all(&mut self) {
+        for child in self.owned.values().filter_map(|job| job.child.as_ref()) {
+            send_signal(child, Signal::TERM);
         }
     }
 }
 
-fn signal(child: &Child, signal: Signal) {
+/// The grant of a duty that this server owns at this moment.
+fn valid_grant(node: &Node, duty: &str, now: Millis) -> Option<Grant> {
+    node.owned_token(duty, now).and_then(|_| node.grant(duty)).cloned()
+}
+
+fn exit(status: ExitStatus) -> Exit {
+    let is = |code: u8| status.code() == Some(i32::from(code));
+    if status.success() {
+        Exit::Done
+    } else if is(EXIT_OWNERSHIP_LOST) || is(EXIT_NEVER_OWNED) {
+        Exit::OwnershipLost
+    } else {
+        Exit::Failed(status.to_string())
+    }
+}
+
+fn send_signal(child: &Child, signal: Signal) {
     if let Some(pid) = Pid::from_raw(child.id() as i32) {
         let _ = kill_process(pid, signal);
     }
--- a/crates/loomflow-server/src/fleet/links.rs
+++ b/crates/loomflow-server/src/fleet/links.rs
@@ -1,120 +1,126 @@
 //! Connections of members: those that others opened are read, those that we opened are written. One for each address, opened
-//! when something is to be said and closed after a while of silence. What cannot be said soon is dropped: every message of
-//! the fleet is made up for by its protocol.
+//! when something is to be sent and closed after a while of silence. What cannot be sent soon is dropped: every protocol of the
+//! fleet makes up for lost messages.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::SocketAddr;
 
-use loomflow_fleet::member::Ms;
-use loomflow_fleet::wire::{Incoming, Malformed};
+use loomflow_fleet::member::Millis;
+use loomflow_fleet::wire::{FrameError, FrameReader};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
 
-use super::{FIRST_LINK, LISTENER};
+use super::{FIRST_CONNECTION, LISTENER};
 
 /// Connections in each direction; those that were silent for longest go first.
-const MOST_LINKS: usize = 1_024;
-/// A connection on which nothing is said is closed, ms.
-const SILENT: Ms = 15_000;
+const MAX_CONNECTIONS: usize = 1_024;
+/// A connection on which nothing is sent is closed after this, ms.
+const IDLE_TIMEOUT_MILLIS: Millis = 15_000;
 /// One that takes nothing for so long is broken, ms.
-const STALLED: Ms = 3_000;
-/// After one could not be opened, ms.
-const AGAIN: Ms = 300;
-/// What may wait for one: messages, and bytes beyond the first message.
-const MOST_WAITING: usize = 512;
-const MOST_BYTES: usize = 1024 * 1024;
-/// Bytes read from one connection before the others have their turn.
-const TURN: usize = 64 * 1024;
+const STALL_TIMEOUT_MILLIS: Millis = 3_000;
+/// An address that could not be reached is tried again after this, ms.
+const RECONNECT_AFTER_MILLIS: Millis = 300;
+/// Messages that may be queued for one connection, and bytes beyond the first message.
+const MAX_QUEUED_MESSAGES: usize = 512;
+const MAX_QUEUED_BYTES: usize = 1024 * 1024;
+/// Bytes read from one connection before the others are served.
+const MAX_READ_BYTES: usize = 64 * 1024;
 
-struct In {
+struct IncomingLink {
     stream: TcpStream,
-    incoming: Incoming,
-    heard_at: Ms,
+    frames: FrameReader,
+    last_read_at: Millis,
 }
 
-struct Out {
+struct OutgoingLink {
     stream: TcpStream,
     address: SocketAddr,
-    waiting: VecDeque<Vec<u8>>,
-    bytes: usize,
+    queue: VecDeque<Vec<u8>>,
+    queued_bytes: usize,
     /// How much of the first that waits is written.
-    at: usize,
+    written: usize,
     /// When something was last written, or nothing waited.
-    moved_at: Ms,
+    last_progress_at: Millis,
 }
 
+/// All connections of members.
 pub struct Links {
     listener: TcpListener,
-    next: usize,
-    incoming: BTreeMap<Token, In>,
-    outgoing: BTreeMap<Token, Out>,
-    to: BTreeMap<SocketAddr, Token>,
+    next_token: usize,
+    incoming: BTreeMap<Token, IncomingLink>,
+    outgoing: BTreeMap<Token, OutgoingLink>,
+    token_by_address: BTreeMap<SocketAddr, Token>,
     /// Addresses that could not be reached, until when they are left alone.
-    failed: BTreeMap<SocketAddr, Ms>,
+    unreachable_until: BTreeMap<SocketAddr, Millis>,
 }
 
 impl Links {
+    /// Listens for other members.
     pub fn listen(address: SocketAddr, registry: &Registry) -> io::Result<Links> {
         let mut listener = TcpListener::bind(address)?;
         registry.register(&mut listener, LISTENER, Interest::READABLE)?;
         Ok(Links {
             listener,
-            next: FIRST_LINK,
+            next_token: FIRST_CONNECTION,
             incoming: BTreeMap::new(),
             outgoing: BTreeMap::new(),
-            to: BTreeMap::new(),
-            failed: BTreeMap::new(),
+            token_by_address: BTreeMap::new(),
+            unreachable_until: BTreeMap::new(),
         })
     }
 
-    fn token(&mut self) -> Token {
-        self.next += 1;
+    fn new_token(&mut self) -> Token {
+        self.next_token += 1;
         // Even ones: odd ones are the operators'.
-        Token(self.next * 2)
+        Token(self.next_token * 2)
     }
 
-    pub fn accept(&mut self, registry: &Registry, now: Ms) {
+    /// Accepts what is there.
+    pub fn accept(&mut self, registry: &Registry, now: Millis) {
         while let Ok((mut stream, _)) = self.listener.accept() {
-            if self.incoming.len() >= MOST_LINKS
+            if self.incoming.len() >= MAX_CONNECTIONS
                 && let Some(oldest) =
-                    self.incoming.iter().min_by_key(|(_, one)| one.heard_at).map(|(t, _)| *t)
+                    self.incoming.iter().min_by_key(|(_, link)| link.last_read_at).map(|(t, _)| *t)
             {
                 self.incoming.remove(&oldest);
             }
-            let token = self.token();
+            let token = self.new_token();
             if registry.register(&mut stream, token, Interest::READABLE).is_ok() {
-                self.incoming.insert(token, In { stream, incoming: Incoming::default(), heard_at: now });
+                self.incoming.insert(
+                    token,
+                    IncomingLink { stream, frames: FrameReader::default(), last_read_at: now },
+                );
             }
         }
     }
 
-    /// Something may be read or written. What is read goes to `hear`, message by message. Gives why a link was ended, where
-    /// a message did it.
+    /// Something may be read or written. What is read goes to `handle_message`, message by message. Returns why a link was
+    /// ended, where a message did it.
     pub fn ready(
         &mut self,
         token: Token,
-        readable: bool,
-        now: Ms,
+        is_readable: bool,
+        now: Millis,
         registry: &Registry,
-        hear: &mut dyn FnMut(&[u8]) -> Result<(), Malformed>,
+        handle_message: &mut dyn FnMut(&[u8]) -> Result<(), FrameError>,
     ) -> Option<String> {
         if self.outgoing.contains_key(&token) {
             self.write(token, now);
             return None;
         }
-        if !readable {
+        if !is_readable {
             return None;
         }
         let link = self.incoming.get_mut(&token)?;
-        match read(link, now, hear) {
-            Ok(After::AllRead) => None,
-            Ok(After::More) => {
+        match read(link, now, handle_message) {
+            Ok(ReadResult::Drained) => None,
+            Ok(ReadResult::HasMore) => {
                 // Readiness is told once: asked for anew it is told again, after the others have had their turn.
                 let _ = registry.reregister(&mut link.stream, token, Interest::READABLE);
                 None
             }
-            Ok(After::End) => {
+            Ok(ReadResult::Closed) => {
                 self.incoming.remove(&token);
                 None
             }
@@ -127,74 +133,84 @@
     }
 
     /// Puts a message on its way, or drops it.
-    pub fn send(&mut self, to: SocketAddr, bytes: Vec<u8>, now: Ms, registry: &Registry) {
-        let token = match self.to.get(&to) {
+    pub fn send(&mut self, to: SocketAddr, bytes: Vec<u8>, now: Millis, registry: &Registry) {
+        let token = match self.token_by_address.get(&to) {
             Some(token) => *token,
-            None if self.failed.get(&to).is_some_and(|until| now < *until) => return,
+            None if self.unreachable_until.get(&to).is_some_and(|until| now < *until) => return,
             None => match self.open(to, now, registry) {
                 Some(token) => token,
                 None => return,
             },
         };
         let Some(link) = self.outgoing.get_mut(&token) else { return };
-        if link.waiting.is_empty() {
-            link.moved_at = now;
+        if link.queue.is_empty() {
+            link.last_progress_at = now;
         }
-        let full = link.waiting.len() >= MOST_WAITING || link.bytes + bytes.len() > MOST_BYTES;
-        if full && !link.waiting.is_empty() {
+        let full =
+            link.queue.len() >= MAX_QUEUED_MESSAGES || link.queued_bytes + bytes.len() > MAX_QUEUED_BYTES;
+        if full && !link.queue.is_empty() {
             return;
         }
-        link.bytes += bytes.len();
-        link.waiting.push_back(bytes);
+        link.queued_bytes += bytes.len();
+        link.queue.push_back(bytes);
         self.write(token, now);
     }
 
-    fn open(&mut self, to: SocketAddr, now: Ms, registry: &Registry) -> Option<Token> {
-        if self.outgoing.len() >= MOST_LINKS
-            && let Some(oldest) = self.outgoing.iter().min_by_key(|(_, one)| one.moved_at).map(|(t, _)| *t)
+    fn open(&mut self, to: SocketAddr, now: Millis, registry: &Registry) -> Option<Token> {
+        if self.outgoing.len() >= MAX_CONNECTIONS
+            && let Some(oldest) =
+                self.outgoing.iter().min_by_key(|(_, link)| link.last_progress_at).map(|(t, _)| *t)
         {
             self.close(oldest);
         }
         let mut stream = TcpStream::connect(to).ok()?;
         let _ = stream.set_nodelay(true);
-        let token = self.token();
+        let token = self.new_token();
         registry.register(&mut stream, token, Interest::READABLE | Interest::WRITABLE).ok()?;
-        let out = Out { stream, address: to, waiting: VecDeque::new(), bytes: 0, at: 0, moved_at: now };
+        let out = OutgoingLink {
+            stream,
+            address: to,
+            queue: VecDeque::new(),
+            queued_bytes: 0,
+            written: 0,
+            last_progress_at: now,
+        };
         self.outgoing.insert(token, out);
-        self.to.insert(to, token);
+        self.token_by_address.insert(to, token);
         Some(token)
     }
 
     fn close(&mut self, token: Token) {
         if let Some(out) = self.outgoing.remove(&token) {
-            self.to.remove(&out.address);
+            self.token_by_address.remove(&out.address);
         }
     }
 
-    fn write(&mut self, token: Token, now: Ms) {
+    fn write(&mut self, token: Token, now: Millis) {
         let Some(link) = self.outgoing.get_mut(&token) else { return };
         match write(link, now) {
             Ok(()) => {
-                self.failed.remove(&link.address);
+                self.unreachable_until.remove(&link.address);
             }
             Err(_) => {
                 let address = link.address;
-                self.failed.insert(address, now + AGAIN);
+                self.unreachable_until.insert(address, now + RECONNECT_AFTER_MILLIS);
                 self.close(token);
             }
         }
     }
 
     /// Closes what is silent or takes nothing.
-    pub fn sweep(&mut self, now: Ms) {
-        self.incoming.retain(|_, one| now < one.heard_at + 4 * SILENT);
-        let over = |one: &Out| {
-            let patience = if one.waiting.is_empty() { SILENT } else { STALLED };
-            now >= one.moved_at + patience
+    pub fn sweep(&mut self, now: Millis) {
+        self.incoming.retain(|_, link| now < link.last_read_at + 4 * IDLE_TIMEOUT_MILLIS);
+        let is_over = |link: &OutgoingLink| {
+            let patience = if link.queue.is_empty() { IDLE_TIMEOUT_MILLIS } else { STALL_TIMEOUT_MILLIS };
+            now >= link.last_progress_at + patience
         };
-        let gone: Vec<Token> = self.outgoing.iter().filter(|(_, one)| over(one)).map(|(t, _)| *t).collect();
+        let gone: Vec<Token> =
+            self.outgoing.iter().filter(|(_, link)| is_over(link)).map(|(t, _)| *t).collect();
         gone.into_iter().for_each(|token| self.close(token));
-        self.failed.retain(|_, until| now < *until);
+        self.unreachable_until.retain(|_, until| now < *until);
     }
 
     /// Gives what waits a last chance to be written.
@@ -206,41 +222,41 @@
 }
 
 /// What is left of a connection after its turn.
-enum After {
-    AllRead,
-    More,
-    End,
+enum ReadResult {
+    Drained,
+    HasMore,
+    Closed,
 }
 
 /// Reads what is there, or a turn's worth of it.
 fn read(
-    link: &mut In,
-    now: Ms,
-    hear: &mut dyn FnMut(&[u8]) -> Result<(), Malformed>,
-) -> Result<After, Malformed> {
+    link: &mut IncomingLink,
+    now: Millis,
+    handle_message: &mut dyn FnMut(&[u8]) -> Result<(), FrameError>,
+) -> Result<ReadResult, FrameError> {
     let mut bytes = [0; 16 * 1024];
     let mut taken = 0;
-    while taken < TURN {
+    while taken < MAX_READ_BYTES {
         match link.stream.read(&mut bytes) {
-            Ok(0) => return Ok(After::End),
+            Ok(0) => return Ok(ReadResult::Closed),
             Ok(count) => {
-                link.heard_at = now;
-                link.incoming.feed(&bytes[..count]);
-                while let Some(frame) = link.incoming.frame()? {
-                    hear(frame)?;
+                link.last_read_at = now;
+                link.frames.feed(&bytes[..count]);
+                while let Some(frame) = link.frames.next_frame()? {
+                    handle_message(frame)?;
                 }
                 taken += count;
             }
-            Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(After::AllRead),
-            Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            Err(_) => return Ok(After::End),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(ReadResult::Drained),
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(_) => return Ok(ReadResult::Closed),
         }
     }
-    Ok(After::More)
+    Ok(ReadResult::HasMore)
 }
 
 /// Writes what the system takes. Errors: the link is broken, or its peer closed it.
-fn write(link: &mut Out, now: Ms) -> io::Result<()> {
+fn write(link: &mut OutgoingLink, now: Millis) -> io::Result<()> {
     if let Some(e) = link.stream.take_error()? {
         return Err(e);
     }
@@ -257,20 +273,20 @@
         }
         _ => {}
     }
-    while let Some(first) = link.waiting.front() {
-        match link.stream.write(&first[link.at..]) {
+    while let Some(first) = link.queue.front() {
+        match link.stream.write(&first[link.written..]) {
             Ok(0) => return Err(ErrorKind::WriteZero.into()),
             Ok(count) => {
-                link.at += count;
-                link.moved_at = link.moved_at.max(now);
-                if link.at == first.len() {
-                    link.bytes -= first.len();
-                    link.waiting.pop_front();
-                    link.at = 0;
+                link.written += count;
+                link.last_progress_at = link.last_progress_at.max(now);
+                if link.written == first.len() {
+                    link.queued_bytes -= first.len();
+                    link.queue.pop_front();
+                    link.written = 0;
                 }
             }
             Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::NotConnected) => return Ok(()),
-            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
             Err(e) => return Err(e),
         }
     }
--- /dev/null
+++ b/crates/loomflow-server/src/fleet/load.rs
@@ -0,0 +1,56 @@
+//! The server's load, as it is reported to the fleet.
+
+use loomflow_fleet::member::{LoadReport, Phase};
+
+/// How often the load is reported, ms.
+const REPORT_PERIOD_MILLIS: f64 = 500.0;
+
+/// Averages the number of concurrent runs over time, and says when a report is due. Times in ms.
+pub struct Meter {
+    period_start: f64,
+    last_change: f64,
+    /// Runs times ms since the start of the period.
+    run_millis: f64,
+    running: f64,
+}
+
+impl Meter {
+    /// Starts a period.
+    pub fn new(now: f64) -> Meter {
+        Meter { period_start: now, last_change: now, run_millis: 0.0, running: 0.0 }
+    }
+
+    /// Sets the number of runs from now on; returns the mean of the period where a report is due.
+    pub fn note(&mut self, now: f64, running: f64) -> Option<f64> {
+        self.run_millis += self.running * (now - self.last_change);
+        self.last_change = now;
+        self.running = running;
+        let period = now - self.period_start;
+        if period < REPORT_PERIOD_MILLIS {
+            return None;
+        }
+        let mean = self.run_millis / period;
+        self.period_start = now;
+        self.run_millis = 0.0;
+        Some(mean)
+    }
+}
+
+/// The module's load, with the mean of its runs, as a report.
+pub fn load_report(
+    load: &loomflow::interface::Load,
+    mean_running: f64,
+    cores: f64,
+    phase: Phase,
+    healthy: bool,
+) -> LoadReport {
+    LoadReport {
+        phase,
+        share: load.share as f32,
+        hold_time_ratio: load.over_aim as f32,
+        limit: load.limit as f32,
+        running: mean_running as f32,
+        cores: cores as f32,
+        healthy,
+    }
+}
--- /dev/null
+++ b/crates/loomflow-server/src/fleet/storage/tests.rs
@@ -0,0 +1,38 @@
+use super::*;
+use loomflow_fleet::member::Replica;
+
+/// Random steps leave on the disk what the meaning of a step says, over reopening.
+#[test]
+fn the_folder_holds_what_the_steps_mean() {
+    let folder = std::env::temp_dir().join(format!("loomflow-store-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    let mut rng = fastrand::Rng::with_seed(7);
+    let (mut expected, mut next) = (PersistedState::default(), 1u64);
+    for round in 0..60 {
+        let mut storage = RedbStorage::new(&folder);
+        let first = rng.u64(next.saturating_sub(3).max(1)..=next);
+        let count = rng.u64(0..5);
+        next = if count > 0 { first + count } else { next };
+        let metadata = ReplicaMetadata { incarnation: round, replica: Replica { id: 3, group: round } };
+        let batch = WriteBatch {
+            metadata: (round % 7 == 0).then_some(metadata),
+            hard_state: rng.bool().then(|| vec![round as u8; 9]),
+            snapshot: (round % 11 == 10).then(|| (next.saturating_sub(2), vec![1; 40])),
+            entries: (first..first + count).map(|at| (at, vec![at as u8; 20])).collect(),
+            clears_log: round % 23 == 22,
+        };
+        storage.write(&batch).unwrap();
+        expected.apply(&batch);
+        assert_eq!(storage.read().unwrap(), expected, "round {round}");
+    }
+    let _ = std::fs::remove_dir_all(&folder);
+}
+
+#[test]
+fn a_folder_that_cannot_be_made_is_named() {
+    let file = std::env::temp_dir().join(format!("loomflow-no-folder-{}", std::process::id()));
+    std::fs::write(&file, "").unwrap();
+    let error = RedbStorage::new(&file.join("below")).read().unwrap_err().to_string();
+    let _ = std::fs::remove_file(&file);
+    assert!(error.contains("below"), "{error}");
+}
--- a/crates/loomflow-server/src/fleet/tests.rs
+++ b/crates/loomflow-server/src/fleet/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use loomflow_fleet::member::Phase;
 
 #[test]
 fn the_mean_is_over_time_and_not_over_batches() {
@@ -11,41 +12,41 @@
     assert_eq!(meter.note(1000.0, 0.0), Some(0.0));
 }
 
-/// The owner's end, and what the thread would find.
-fn told() -> (Fleet, Arc<Slot>, Poll) {
+/// The owner's handle, and what the thread would find.
+fn handle_and_inbox() -> (Fleet, Arc<Inbox>, Poll) {
     let poll = Poll::new().expect("a poller");
     let waker = Arc::new(Waker::new(poll.registry(), WAKE).expect("a waker"));
-    let slot = Arc::new(Slot::default());
-    let last_word = Duration::from_secs(3_600);
-    (Fleet { told: Arc::downgrade(&slot), waker, last_word }, slot, poll)
+    let inbox = Arc::new(Inbox::default());
+    let shutdown_timeout = Duration::from_secs(3_600);
+    (Fleet { inbox: Arc::downgrade(&inbox), waker, shutdown_timeout }, inbox, poll)
 }
 
-fn load(running: f64) -> Digest {
-    digest(&Default::default(), running, 4.0, Phase::Serving, true)
+fn load(running: f64) -> LoadReport {
+    load_report(&Default::default(), running, 4.0, Phase::Serving, true)
 }
 
 #[test]
 fn a_thread_that_stands_still_misses_no_word_and_hears_the_newest_load() {
-    let (fleet, slot, _poll) = told();
-    (0..10_000).for_each(|running| fleet.load(load(running.into())));
-    fleet.leaving();
-    fleet.load(load(7.0));
-    let heard = std::mem::take(&mut *slot.lock().unwrap());
-    assert!(heard.leaving);
-    assert_eq!(heard.load.map(|digest| digest.running), Some(7.0));
-    assert!(slot.lock().unwrap().load.is_none());
+    let (fleet, inbox, _poll) = handle_and_inbox();
+    (0..10_000).for_each(|running| fleet.set_load(load(running.into())));
+    fleet.begin_drain();
+    fleet.set_load(load(7.0));
+    let messages = std::mem::take(&mut *inbox.lock().unwrap());
+    assert!(messages.is_draining);
+    assert_eq!(messages.load_report.map(|report| report.running), Some(7.0));
+    assert!(inbox.lock().unwrap().load_report.is_none());
 }
 
 #[test]
 fn nobody_waits_for_a_thread_that_has_ended() {
     for before in [true, false] {
-        let (fleet, slot, _poll) = told();
+        let (fleet, inbox, _poll) = handle_and_inbox();
         if before {
-            drop(slot);
+            drop(inbox);
             fleet.drained();
         } else {
             let ends = std::thread::spawn(move || {
-                while slot.lock().unwrap().drained.is_none() {
+                while inbox.lock().unwrap().drained.is_none() {
                     std::thread::yield_now();
                 }
             });
--- a/crates/loomflow-server/src/owner/mod.rs
+++ b/crates/loomflow-server/src/owner/mod.rs
@@ -220,13 +220,13 @@
         let load = self.choice.as_ref().map(Choice::load).unwrap_or_default();
         let Some(mean) = meter.note(self.now.ms, load.running) else { return };
         let phase = match (&self.choice, self.killed_at.is_some()) {
-            (_, true) => Phase::Leaving,
+            (_, true) => Phase::Draining,
             (None, _) => Phase::Cold,
             (Some(_), _) if self.now.ms < self.warm_at => Phase::Cold,
             _ => Phase::Serving,
         };
         let healthy = self.good && self.choice.is_some();
-        fleet.load(fleet::digest(&load, mean, self.site.settings.cores, phase, healthy));
+        fleet.set_load(fleet::load_report(&load, mean, self.site.settings.cores, phase, healthy));
     }
 
     /// Tells the module what has followed from what it did.
@@ -365,7 +365,7 @@
         self.killed_at = Some(killed_at);
         log!("told to leave");
         if let Some((fleet, _)) = &self.fleet {
-            fleet.leaving();
+            fleet.begin_drain();
         }
         let grace = self.site.settings.drain_grace.min(self.config.stop_ms / 2.0);
         self.closes_at = self.now.ms + grace;
--- a/crates/loomflow-simulation/src/owners.rs
+++ b/crates/loomflow-simulation/src/owners.rs
@@ -1,13 +1,13 @@
 //! What the machines of a world do about duties, and who owns which by their own clocks.
 
-use loomflow_fleet::duty::tenure::Change;
+use loomflow_fleet::duty::client_session::OwnershipChange;
 
 use crate::World;
 
 impl World {
-    pub(crate) fn duty_changed(&mut self, one: usize, change: Change) {
+    pub(crate) fn duty_changed(&mut self, one: usize, change: OwnershipChange) {
         // Its work is short: it is finished at once.
-        if let Change::HandOver(duty, _) = change {
+        if let OwnershipChange::ReleaseRequested(duty, _) = change {
             let now = self.local(one);
             if let Some(node) = &mut self.machines[one].node {
                 node.release(&duty, now);
@@ -23,7 +23,7 @@
         }
         let now = self.local(one);
         let Some(node) = &self.machines[one].node else { return };
-        for (duty, token) in node.owned(now) {
+        for (duty, token) in node.owned_duties(now) {
             self.witness.effect(one, &duty, token);
         }
     }
@@ -33,7 +33,7 @@
         let owns = |one: &usize| {
             let machine = &self.machines[*one];
             let node = machine.node.as_ref().filter(|_| machine.stopped_until <= self.now);
-            node.is_some_and(|node| node.owns(duty, self.local(*one)).is_some())
+            node.is_some_and(|node| node.owned_token(duty, self.local(*one)).is_some())
         };
         (0..self.machines.len()).filter(owns).collect()
     }
@@ -43,7 +43,7 @@
         let Some(node) = self.machines[moved].node.as_ref().filter(|_| self.witness.clocks_hold) else {
             return Ok(());
         };
-        for (duty, _) in node.owned(self.local(moved)) {
+        for (duty, _) in node.owned_duties(self.local(moved)) {
             let owners = self.owners(&duty);
             if owners.len() > 1 {
                 return Err(format!("{duty} has owners {owners:?} at once"));
--- a/crates/loomflow-simulation/src/script.rs
+++ b/crates/loomflow-simulation/src/script.rs
@@ -1,7 +1,7 @@
 //! What happens when, as data.
 
-use loomflow_fleet::member::Ms;
-use loomflow_fleet::order::ticket::{TicketId, Urgency};
+use loomflow_fleet::maintenance::ticket::{TicketId, Urgency};
+use loomflow_fleet::member::Millis;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -13,7 +13,7 @@
     /// A dead one starts again.
     Start(usize),
     /// The process stands still for so long; what is sent to it waits.
-    Stop(usize, Ms),
+    Stop(usize, Millis),
     /// Its folder is lost. Counts from its next start.
     LoseDisk(usize),
     /// Its disk takes nothing more, or does again.
@@ -27,15 +27,15 @@
     /// So much of all messages is lost, and so much is doubled, 0 to 1.
     Loss(f64, f64),
     /// The longest that a message takes, ms.
-    Delay(Ms),
+    Delay(Millis),
     /// Tickets for these are asked for by the first machine that runs.
-    Ask(Vec<usize>, Urgency),
+    RequestWork(Vec<usize>, Urgency),
     Withdraw(TicketId),
     WriteOff(TicketId),
     /// What the fleet carries, in runs at once for each machine there is.
     Demand(f64),
     /// A machine that is taken out stays out so long; never to return where it is none.
-    Work(usize, Option<Ms>),
+    Work(usize, Option<Millis>),
     /// SIGTERM, without a ticket.
     Terminate(usize),
     /// Its module asks for this share of its usual traffic from now on, whatever it carries.
@@ -44,11 +44,11 @@
 
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Script {
-    pub steps: Vec<(Ms, Fault)>,
+    pub steps: Vec<(Millis, Fault)>,
 }
 
 impl Script {
-    pub fn new(steps: impl IntoIterator<Item = (Ms, Fault)>) -> Script {
+    pub fn new(steps: impl IntoIterator<Item = (Millis, Fault)>) -> Script {
         let mut steps: Vec<_> = steps.into_iter().collect();
         steps.sort_by_key(|(at, _)| *at);
         Script { steps }
@@ -56,9 +56,9 @@
 
     /// Tickets for all, and faults drawn from the seed between `from` and `to`; all is mended after that. Of the voters at
     /// most a minority is without its disk in the end.
-    pub fn drawn(seed: u64, machines: usize, voters: usize, from: Ms, to: Ms) -> Script {
+    pub fn drawn(seed: u64, machines: usize, voters: usize, from: Millis, to: Millis) -> Script {
         let mut rng = SmallRng::seed_from_u64(seed ^ 0x5EED);
-        let mut steps = vec![(from, Fault::Ask((0..machines).collect(), Urgency::Routine))];
+        let mut steps = vec![(from, Fault::RequestWork((0..machines).collect(), Urgency::Routine))];
         let mut disks = (voters - 1) / 2;
         let mut at = from;
         while at < to {
