--- a/crates/loomflow-simulation/src/witness.rs
+++ b/crates/loomflow-simulation/src/witness.rs
@@ -4,11 +4,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use loomflow_fleet::agreement::Machine as _;
+use loomflow_fleet::consensus::StateMachine as _;
 use loomflow_fleet::duty::Token;
 use loomflow_fleet::duty::fence::Fence;
-use loomflow_fleet::member::Ms;
-use loomflow_fleet::order::ticket::{Stage, TicketId};
+use loomflow_fleet::maintenance::ticket::{Stage, TicketId};
+use loomflow_fleet::member::Millis;
 
 use crate::world::{Machine, Shape};
 
@@ -26,7 +26,7 @@
     /// Leaves that were not yet looked for in the log.
     to_check: Vec<(usize, TicketId)>,
     /// Every leave: machine, ticket and moment.
-    pub left: Vec<(usize, TicketId, Ms)>,
+    pub left: Vec<(usize, TicketId, Millis)>,
     /// Compares states as well; costly in large fleets.
     pub thorough: bool,
     /// Clocks keep to the bound on drift, so that nobody believes to own what another does.
@@ -68,7 +68,7 @@
 impl Witness {
     pub fn new(shape: &Shape) -> Witness {
         Witness {
-            most: shape.rules.out.of(shape.machines as u32) as usize,
+            most: shape.rules.max_out.of(shape.machines as u32) as usize,
             out: BTreeMap::new(),
             written_off: BTreeSet::new(),
             leaders: BTreeMap::new(),
@@ -82,7 +82,7 @@
         }
     }
 
-    pub fn leaves(&mut self, one: usize, ticket: TicketId, now: Ms) {
+    pub fn leaves(&mut self, one: usize, ticket: TicketId, now: Millis) {
         self.out.insert(one, ticket);
         self.to_check.push((one, ticket));
         self.left.push((one, ticket, now));
@@ -118,21 +118,21 @@
             return Err(wrong);
         }
         let Some(node) = &machines[moved].node else { return Ok(()) };
-        let Some(agreement) = node.agreement() else { return Ok(()) };
-        let group = agreement.seat().group;
-        if agreement.leads() {
-            let leader = *self.leaders.entry((group, agreement.term())).or_insert(moved);
+        let Some(consensus) = node.consensus() else { return Ok(()) };
+        let group = consensus.replica().group;
+        if consensus.is_leader() {
+            let leader = *self.leaders.entry((group, consensus.term())).or_insert(moved);
             if leader != moved {
-                return Err(format!("n{leader} and n{moved} lead in term {}", agreement.term()));
+                return Err(format!("n{leader} and n{moved} lead in term {}", consensus.term()));
             }
         }
-        let applied = agreement.applied();
+        let applied = consensus.applied_index();
         if !self.thorough || self.last.get(&moved) == Some(&applied) || applied == 0 {
             return Ok(());
         }
         self.last.insert(moved, applied);
         let mut hasher = DefaultHasher::new();
-        agreement.machine().save().hash(&mut hasher);
+        consensus.machine().save().hash(&mut hasher);
         let state = hasher.finish();
         match self.states.insert((group, applied), state) {
             Some(other) if other != state => Err(format!("n{moved} holds another state at {applied}")),
@@ -143,7 +143,7 @@
 
 /// Whoever leaves by a ticket does so on a begin that some voter has applied.
 fn begun(one: usize, ticket: TicketId, machines: &[Machine]) -> Result<(), String> {
-    let orders = || machines.iter().filter_map(|machine| machine.node.as_ref()?.order());
+    let orders = || machines.iter().filter_map(|machine| machine.node.as_ref()?.maintenance());
     let agreed = |stage: Stage| stage >= Stage::Begun && !matches!(stage, Stage::Withdrawn | Stage::Lapsed);
     if orders().filter_map(|order| order.find(ticket)).any(|ticket| agreed(ticket.stage)) {
         return Ok(());
--- a/crates/loomflow-simulation/src/world.rs
+++ b/crates/loomflow-simulation/src/world.rs
@@ -4,14 +4,14 @@
 use std::collections::{BTreeSet, BinaryHeap};
 use std::sync::{Arc, Mutex};
 
-use loomflow_fleet::agreement::disk::{Disk, Image, MemoryDisk, Write};
-use loomflow_fleet::duty::{Declared, Terms};
-use loomflow_fleet::member::{Digest, Ms, Phase, RequestId, Standing};
-use loomflow_fleet::node::{Effect, Node, Setup, duties};
-use loomflow_fleet::order::rules::Rules;
-use loomflow_fleet::order::ticket::{Move, Stage, TicketId, Wanted};
-use loomflow_fleet::order::{Answer, Ask, By, Command};
-use loomflow_fleet::wire::HEAD;
+use loomflow_fleet::consensus::storage::{MemoryStorage, PersistedState, Storage, StorageError, WriteBatch};
+use loomflow_fleet::duty::{DutySpec, LeaseSettings};
+use loomflow_fleet::maintenance::rules::Rules;
+use loomflow_fleet::maintenance::ticket::{Stage, TicketId, TicketRequest, Transition};
+use loomflow_fleet::maintenance::{Command, Issuer, Request, Response};
+use loomflow_fleet::member::{LoadReport, MemberState, Millis, Phase, RequestId};
+use loomflow_fleet::node::{Effect, Node, NodeConfig, duties};
+use loomflow_fleet::wire::LENGTH_BYTES;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -21,10 +21,10 @@
 /// Runs at once that each machine bears.
 const BEARS: f32 = 8.0;
 /// A start into a running fleet is cold for so long, ms.
-const COLD: Ms = 3_000;
+const COLD: Millis = 3_000;
 /// A drain takes so long, ms; and the last word is waited for so long.
-const DRAIN: Ms = 700;
-const LAST_WORD: Ms = 1_500;
+const DRAIN: Millis = 700;
+const LAST_WORD: Millis = 1_500;
 
 /// What a fleet is made of.
 #[derive(Clone, Debug)]
@@ -34,12 +34,12 @@
     pub zones: usize,
     pub rules: Rules,
     /// How long work takes.
-    pub work: Ms,
+    pub work: Millis,
     /// Clocks run so much faster or slower at the most, as a part.
     pub drift: f64,
     /// Duties of the operators, and the terms of all.
     pub duties: usize,
-    pub terms: Terms,
+    pub terms: LeaseSettings,
 }
 
 impl Default for Shape {
@@ -52,23 +52,23 @@
             work: 4_000,
             drift: 0.0,
             duties: 0,
-            terms: Terms { lease: 4_000, ..Terms::default() },
+            terms: LeaseSettings { lease_millis: 4_000, ..LeaseSettings::default() },
         }
     }
 }
 
 /// A disk that outlives its process, can be lost and can be full.
 #[derive(Clone, Default)]
-struct Folder(Arc<Mutex<(MemoryDisk, bool)>>);
+struct Folder(Arc<Mutex<(MemoryStorage, bool)>>);
 
-impl Disk for Folder {
-    fn read(&mut self) -> Result<Image, String> {
+impl Storage for Folder {
+    fn read(&mut self) -> Result<PersistedState, StorageError> {
         self.0.lock().expect("one thread").0.read()
     }
 
-    fn write(&mut self, write: &Write) -> Result<(), String> {
+    fn write(&mut self, batch: &WriteBatch) -> Result<(), StorageError> {
         let mut folder = self.0.lock().expect("one thread");
-        if folder.1 { Err("no space left".into()) } else { folder.0.write(write) }
+        if folder.1 { Err(StorageError::new("no space left")) } else { folder.0.write(batch) }
     }
 }
 
@@ -76,25 +76,25 @@
     pub node: Option<Node>,
     folder: Folder,
     /// Own time is so much further, and runs so much faster.
-    ahead: Ms,
+    ahead: Millis,
     drift: f64,
-    pub(crate) stopped_until: Ms,
-    wake: Ms,
-    started: Ms,
+    pub(crate) stopped_until: Millis,
+    wake: Millis,
+    started: Millis,
     /// It drains since then, and by which ticket.
-    pub leaving: Option<(Ms, Option<TicketId>)>,
+    pub leaving: Option<(Millis, Option<TicketId>)>,
     drained: bool,
     /// How long work takes here; none is never back.
-    work: Option<Ms>,
-    load_at: Ms,
+    work: Option<Millis>,
+    load_at: Millis,
     share: Option<f32>,
     /// Sent by it: messages and bytes.
     pub sent: (u64, u64),
 }
 
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
-struct Due {
-    at: Ms,
+struct DueTimer {
+    at: Millis,
     number: u64,
     what: What,
 }
@@ -118,20 +118,20 @@
 
 pub struct World {
     pub shape: Shape,
-    pub now: Ms,
+    pub now: Millis,
     pub machines: Vec<Machine>,
     pub witness: Witness,
     rng: SmallRng,
-    queue: BinaryHeap<Reverse<Due>>,
+    queue: BinaryHeap<Reverse<DueTimer>>,
     number: u64,
     cuts: BTreeSet<(usize, usize)>,
     loss: f64,
     doubled: f64,
-    delay: Ms,
+    delay: Millis,
     demand: f64,
     /// Requests of the operators, and what came of them.
-    pub asked: Vec<(RequestId, Vec<usize>, Option<Answer>)>,
-    pub log: Vec<(Ms, String)>,
+    pub asked: Vec<(RequestId, Vec<usize>, Option<Response>)>,
+    pub log: Vec<(Millis, String)>,
 }
 
 pub fn name(machine: usize) -> String {
@@ -155,7 +155,7 @@
         // So that nobody is cold at first.
         world.machines.iter_mut().for_each(|machine| machine.started = 0);
         let node = world.machines[0].node.as_mut().expect("it was started");
-        node.begin_alone(false, 0).expect("a fleet is founded");
+        node.bootstrap(0).expect("a fleet is founded");
         world
     }
 
@@ -196,9 +196,9 @@
     }
 
     /// The time that a machine's own clock shows.
-    pub fn local(&self, one: usize) -> Ms {
+    pub fn local(&self, one: usize) -> Millis {
         let machine = &self.machines[one];
-        (self.now as f64 * machine.drift) as Ms + machine.ahead
+        (self.now as f64 * machine.drift) as Millis + machine.ahead
     }
 
     fn address(machine: usize) -> std::net::SocketAddr {
@@ -210,7 +210,7 @@
             return;
         }
         let (now, seed) = (self.local(one), self.rng.random());
-        let setup = Setup {
+        let setup = NodeConfig {
             fleet: "sim".into(),
             name: name(one),
             zone: format!("z{}", one % self.shape.zones),
@@ -218,13 +218,13 @@
             voters: (0..self.shape.voters).map(|n| (name(n), World::address(n))).collect(),
             via: Default::default(),
             rules: self.shape.rules.clone(),
-            duties: (self.shape.duties > 0).then(|| duties::Setup {
-                terms: self.shape.terms,
-                declared: (0..self.shape.duties).map(|n| Declared::plain(&duty(n))).collect(),
-                summary_every: 5_000,
+            duties: (self.shape.duties > 0).then(|| duties::DutyConfig {
+                lease_settings: self.shape.terms,
+                specs: (0..self.shape.duties).map(|n| DutySpec::plain(&duty(n))).collect(),
+                summary_period_millis: 5_000,
             }),
             seed,
-            wall: self.now,
+            unix_millis: self.now,
         };
         let machine = &mut self.machines[one];
         machine.node = Some(Node::start(setup, Box::new(machine.folder.clone()), now));
@@ -245,7 +245,7 @@
     }
 
     /// Plays a script as far as `until`, and goes on until then. Errors: what the witness saw, with its moment.
-    pub fn play(&mut self, script: &Script, until: Ms) -> Result<(), String> {
+    pub fn play(&mut self, script: &Script, until: Millis) -> Result<(), String> {
         for (at, fault) in script.steps.iter().filter(|(at, _)| *at <= until) {
             self.go(*at)?;
             self.do_fault(fault);
@@ -254,7 +254,7 @@
     }
 
     /// Moves on to a moment, one event after the other.
-    pub fn go(&mut self, until: Ms) -> Result<(), String> {
+    pub fn go(&mut self, until: Millis) -> Result<(), String> {
         loop {
             if self.queue.peek().is_none_or(|Reverse(due)| due.at > until) {
                 self.now = until;
@@ -303,12 +303,12 @@
         }
         let now = self.local(to);
         let node = self.machines[to].node.as_mut()?;
-        let _ = node.message(&bytes[HEAD..], now);
+        let _ = node.handle_message(&bytes[LENGTH_BYTES..], now);
         Some(to)
     }
 
     /// Its turn, unless it is dead or has another moment by now; one that is stopped has it when it goes on.
-    fn woken(&mut self, one: usize, at: Ms) -> Option<usize> {
+    fn woken(&mut self, one: usize, at: Millis) -> Option<usize> {
         let machine = &self.machines[one];
         if machine.node.is_none() || machine.wake != at {
             return None;
@@ -321,7 +321,7 @@
         Some(one)
     }
 
-    fn wake_at(&mut self, one: usize, at: Ms) {
+    fn wake_at(&mut self, one: usize, at: Millis) {
         if self.machines[one].wake != at {
             self.machines[one].wake = at;
             self.push(at, What::Wake(one));
@@ -332,9 +332,9 @@
         let now = self.local(one);
         if self.now >= self.machines[one].load_at {
             self.machines[one].load_at = self.now + 500;
-            let digest = self.digest(one);
+            let load_report = self.load_report(one);
             if let Some(node) = &mut self.machines[one].node {
-                node.load(now, digest);
+                node.set_load(now, load_report);
             }
         }
         if let Some(node) = &mut self.machines[one].node {
@@ -347,16 +347,16 @@
         machine.node.is_some() && machine.leaving.is_none()
     }
 
-    fn digest(&self, one: usize) -> Digest {
+    fn load_report(&self, one: usize) -> LoadReport {
         let serving = (0..self.machines.len()).filter(|one| self.serving(*one)).count().max(1);
         let machine = &self.machines[one];
         let part = (self.demand * self.machines.len() as f64 / serving as f64) as f32;
         let cold = self.now < machine.started + COLD && machine.started > 0;
         let over = part / BEARS;
-        Digest {
+        LoadReport {
             phase: if cold { Phase::Cold } else { Phase::Serving },
             share: machine.share.unwrap_or((1.0 / over).min(1.0)),
-            over_aim: over,
+            hold_time_ratio: over,
             limit: BEARS,
             running: part.min(BEARS),
             cores: BEARS,
@@ -364,14 +364,14 @@
         }
     }
 
-    fn push(&mut self, at: Ms, what: What) {
+    fn push(&mut self, at: Millis, what: What) {
         self.number += 1;
-        self.queue.push(Reverse(Due { at, number: self.number, what }));
+        self.queue.push(Reverse(DueTimer { at, number: self.number, what }));
     }
 
     pub(crate) fn carry_out(&mut self, one: usize) {
         let Some(node) = &mut self.machines[one].node else { return };
-        for effect in node.take() {
+        for effect in node.take_effects() {
             match effect {
                 Effect::Send { to, bytes, .. } => {
                     let Some(to) = number(&to) else { continue };
@@ -386,18 +386,18 @@
                         }
                     }
                 }
-                Effect::Leave(ticket) => {
+                Effect::Drain(ticket) => {
                     self.machines[one].leaving.get_or_insert((self.now, Some(ticket)));
                     self.witness.leaves(one, ticket, self.now);
                     self.say(format!("n{one} leaves by ticket {ticket}"));
                 }
-                Effect::Answered(id, answer) => {
+                Effect::Responded(id, answer) => {
                     if let Some(asked) = self.asked.iter_mut().find(|(asked, ..)| *asked == id) {
                         asked.2 = Some(answer);
                     }
                 }
                 Effect::Duty(change) => self.duty_changed(one, change),
-                Effect::Note(text) => self.say(format!("n{one}: {text}")),
+                Effect::Log(text) => self.say(format!("n{one}: {text}")),
             }
         }
         self.act(one);
@@ -406,7 +406,7 @@
         let machine = &mut self.machines[one];
         if let Some(node) = &machine.node {
             let ahead = node.next_wake().saturating_sub(now).max(1);
-            let leaving = if machine.leaving.is_some() { 100 } else { Ms::MAX };
+            let leaving = if machine.leaving.is_some() { 100 } else { Millis::MAX };
             self.wake_at(one, self.now + ahead.min(leaving).min(500));
         }
     }
@@ -420,9 +420,9 @@
             machine.drained = true;
             node.drained(now);
         }
-        if machine.drained && (node.is_over() || self.now >= since + DRAIN + LAST_WORD) {
-            node.end(now);
-            let last = node.take();
+        if machine.drained && (node.is_finished() || self.now >= since + DRAIN + LAST_WORD) {
+            node.leave(now);
+            let last = node.take_effects();
             machine.node = None;
             let work = machine.work;
             for effect in last {
@@ -449,7 +449,8 @@
             Fault::Stop(one, span) => {
                 // It stands still between its check and its act: what it owned now is done when it goes on.
                 let now = self.local(*one);
-                let owned = self.machines[*one].node.as_ref().map(|node| node.owned(now)).unwrap_or_default();
+                let owned =
+                    self.machines[*one].node.as_ref().map(|node| node.owned_duties(now)).unwrap_or_default();
                 let until = self.now + span;
                 self.machines[*one].stopped_until = until;
                 for (duty, token) in owned {
@@ -476,29 +477,29 @@
             Fault::Mend => self.cuts.clear(),
             Fault::Loss(loss, doubled) => (self.loss, self.doubled) = (*loss, *doubled),
             Fault::Delay(longest) => self.delay = *longest,
-            Fault::Ask(servers, urgency) => {
-                let wanted = servers.iter().map(|one| Wanted {
+            Fault::RequestWork(servers, urgency) => {
+                let wanted = servers.iter().map(|one| TicketRequest {
                     server: name(*one),
                     zone: format!("z{}", one % self.shape.zones),
                     reason: "kernel".into(),
                     urgency: *urgency,
-                    lasts: 60_000,
+                    duration_millis: 60_000,
                     window: None,
                 });
-                let command = Command::Ask(wanted.collect());
+                let command = Command::CreateTickets(wanted.collect());
                 self.operator(command, servers.clone());
             }
-            Fault::Withdraw(ticket) => self.by_hand(*ticket, Move::Withdraw),
+            Fault::Withdraw(ticket) => self.by_hand(*ticket, Transition::Withdraw),
             Fault::WriteOff(ticket) => {
                 self.witness.written_off(*ticket);
-                self.by_hand(*ticket, Move::WriteOff);
+                self.by_hand(*ticket, Transition::Abandon);
             }
             Fault::Demand(demand) => self.demand = *demand,
             Fault::Work(one, span) => self.machines[*one].work = *span,
             Fault::Terminate(one) => {
                 let now = self.local(*one);
                 if let Some(node) = &mut self.machines[*one].node {
-                    node.leaving(now);
+                    node.begin_drain(now);
                     self.machines[*one].leaving.get_or_insert((self.now, None));
                     self.carry_out(*one);
                 }
@@ -506,8 +507,8 @@
         }
     }
 
-    fn by_hand(&mut self, ticket: TicketId, by: Move) {
-        self.operator(Command::Move { ticket, by, grant: 0, incarnation: 0 }, Vec::new());
+    fn by_hand(&mut self, ticket: TicketId, by: Transition) {
+        self.operator(Command::Transition { ticket, transition: by, grant: 0, incarnation: 0 }, Vec::new());
     }
 
     /// An operator's command, said to the first machine that runs.
@@ -515,7 +516,7 @@
         let runs = |one: &usize| self.serving(*one) && self.machines[*one].stopped_until <= self.now;
         let Some(one) = (0..self.machines.len()).find(runs) else { return };
         let now = self.local(one);
-        let ask = Ask::Do { by: By::Operator("ops".into()), command };
+        let ask = Request::Execute { issuer: Issuer::Operator("ops".into()), command };
         if let Some(node) = &mut self.machines[one].node {
             let id = node.submit(ask, now);
             self.asked.push((id, servers, None));
@@ -525,9 +526,9 @@
 
     /// The member that leads, as far as it knows itself.
     pub fn leader(&self) -> Option<usize> {
-        let leads = |one: &usize| self.machines[*one].node.as_ref().is_some_and(Node::leads);
+        let leads = |one: &usize| self.machines[*one].node.as_ref().is_some_and(Node::is_leader);
         let term =
-            |one: &usize| self.machines[*one].node.as_ref().and_then(|n| n.agreement()).map(|a| a.term());
+            |one: &usize| self.machines[*one].node.as_ref().and_then(|n| n.consensus()).map(|a| a.term());
         (0..self.machines.len()).filter(leads).max_by_key(term)
     }
 
@@ -535,24 +536,24 @@
     pub fn explain(&self, one: usize) -> Vec<String> {
         let told = self.leader().and_then(|leader| {
             let node = self.machines[leader].node.as_ref()?;
-            node.read(&Ask::Explain(name(one)), self.local(leader))
+            node.answer_query(&Request::Explain(name(one)), self.local(leader))
         });
-        let Some(Answer::Explained(told)) = told else { return Vec::new() };
+        let Some(Response::Explanation(told)) = told else { return Vec::new() };
         let Some((ticket, stage)) = told.ticket else { return Vec::new() };
-        let standing = told.standing.map_or("unknown", |standing| standing.word());
-        let head = format!("n{one}, {standing}: ticket {ticket} {}", stage.word());
-        let wrong = told.findings.iter().filter(|finding| !finding.holds);
+        let state = told.state.map_or("unknown", |state| state.as_str());
+        let head = format!("n{one}, {state}: ticket {ticket} {}", stage.as_str());
+        let wrong = told.findings.iter().filter(|finding| !finding.is_satisfied);
         [head].into_iter().chain(wrong.map(|finding| format!("    {finding}"))).collect()
     }
 
     /// Stage of each ticket by the leader's order, open and over, in the order of their numbers.
     pub fn stages(&self) -> Vec<(TicketId, String, Stage)> {
-        let order = self.leader().and_then(|one| self.machines[one].node.as_ref()?.order());
+        let order = self.leader().and_then(|one| self.machines[one].node.as_ref()?.maintenance());
         let Some(order) = order else { return Vec::new() };
         let mut all: Vec<_> = order
-            .over()
+            .closed()
             .chain(order.open().values())
-            .map(|ticket| (ticket.id, ticket.wanted.server.clone(), ticket.stage))
+            .map(|ticket| (ticket.id, ticket.request.server.clone(), ticket.stage))
             .collect();
         all.sort();
         all
@@ -562,7 +563,7 @@
     pub fn all_know_dead(&self, one: usize) -> bool {
         let nodes = self.machines.iter().filter_map(|machine| machine.node.as_ref());
         let dead =
-            |node: &Node| node.membership().get(&name(one)).is_some_and(|k| k.standing() == Standing::Down);
+            |node: &Node| node.membership().get(&name(one)).is_some_and(|k| k.state() == MemberState::Down);
         nodes.into_iter().all(dead)
     }
 
@@ -574,7 +575,7 @@
         let dead = |(a, b): &(usize, usize)| {
             let node = self.machines[*a].node.as_ref();
             node.and_then(|node| node.membership().get(&name(*b)))
-                .is_some_and(|k| k.standing() == Standing::Down)
+                .is_some_and(|k| k.state() == MemberState::Down)
         };
         pairs.filter(dead).collect()
     }
--- a/crates/loomflow-simulation/tests/duties.rs
+++ b/crates/loomflow-simulation/tests/duties.rs
@@ -3,14 +3,20 @@
 
 use std::collections::BTreeSet;
 
-use loomflow_fleet::duty::Terms;
+use loomflow_fleet::duty::LeaseSettings;
 use loomflow_simulation::Fault::{self, *};
 use loomflow_simulation::{Script, Shape, World};
 
 const LEASE: u64 = 4_000;
 
 fn shape(machines: usize, voters: usize, duties: usize) -> Shape {
-    Shape { machines, voters, duties, terms: Terms { lease: LEASE, attempts: 5 }, ..Shape::default() }
+    Shape {
+        machines,
+        voters,
+        duties,
+        terms: LeaseSettings { lease_millis: LEASE, max_attempts: 5 },
+        ..Shape::default()
+    }
 }
 
 fn timeline(world: &World) -> String {
@@ -59,12 +65,24 @@
     let before = all_owned(&world);
     let each: BTreeSet<usize> = before.iter().copied().collect();
     assert!(each.len() >= 4, "{before:?}");
-    let token =
-        world.machines[world.leader().unwrap()].node.as_ref().unwrap().record().unwrap().duties.last_token();
+    let token = world.machines[world.leader().unwrap()]
+        .node
+        .as_ref()
+        .unwrap()
+        .fleet_state()
+        .unwrap()
+        .duties
+        .last_token();
     go(&mut world, 30_000 + 600_000);
     assert_eq!(all_owned(&world), before);
-    let after =
-        world.machines[world.leader().unwrap()].node.as_ref().unwrap().record().unwrap().duties.last_token();
+    let after = world.machines[world.leader().unwrap()]
+        .node
+        .as_ref()
+        .unwrap()
+        .fleet_state()
+        .unwrap()
+        .duties
+        .last_token();
     assert_eq!(after, token, "moves on a quiet day");
 }
 
@@ -148,17 +166,17 @@
     let one = [(30_000, Kill(1)), (30_000, LoseDisk(1)), (32_000, Start(1))];
     let mut world = play(shape(5, 3, 6), one, 60_000);
     all_owned(&world);
-    let token = world.machines[0].node.as_ref().unwrap().record().unwrap().duties.last_token();
+    let token = world.machines[0].node.as_ref().unwrap().fleet_state().unwrap().duties.last_token();
     for one in [1, 2] {
         [Kill(one), LoseDisk(one)].iter().for_each(|fault| world.do_fault(fault));
     }
     go(&mut world, 70_000);
     let now = world.local(0);
-    world.machines[0].node.as_mut().unwrap().begin_alone(true, now).unwrap();
+    world.machines[0].node.as_mut().unwrap().recover(now).unwrap();
     [Start(1), Start(2)].iter().for_each(|fault| world.do_fault(fault));
     go(&mut world, 130_000);
     all_owned(&world);
-    let after = world.machines[0].node.as_ref().unwrap().record().unwrap().duties.last_token();
+    let after = world.machines[0].node.as_ref().unwrap().fleet_state().unwrap().duties.last_token();
     assert!(after > token + (1 << 20));
 }
 
@@ -174,7 +192,7 @@
 
 #[test]
 fn clocks_that_drift_as_far_as_is_stated_keep_owners_apart() {
-    let shape = Shape { drift: loomflow_fleet::duty::DRIFT / 2.0, ..shape(6, 3, 8) };
+    let shape = Shape { drift: loomflow_fleet::duty::MAX_CLOCK_DRIFT / 2.0, ..shape(6, 3, 8) };
     let faults = (0..12)
         .map(|n| (30_000 + n * 9_000, if n % 2 == 0 { Isolate(vec![n as usize / 2 % 6]) } else { Mend }));
     let world = play(shape, faults, 180_000);
@@ -247,7 +265,7 @@
     }
     go(&mut world, 120_000);
     assert!(world.owners("d1").is_empty());
-    let record = world.machines[world.leader().unwrap()].node.as_ref().unwrap().record().unwrap();
+    let record = world.machines[world.leader().unwrap()].node.as_ref().unwrap().fleet_state().unwrap();
     let parked = record.duties.duties()["d1"].parked.clone().unwrap();
     assert!(parked.contains("was lost while it owned it"), "{parked}");
     owner(&world, 0);
--- a/crates/loomflow-simulation/tests/seeds.rs
+++ b/crates/loomflow-simulation/tests/seeds.rs
@@ -1,7 +1,7 @@
 //! Seeded days of faults. A seed that fails is printed with its timeline; `LOOMFLOW_SEED=n` plays it alone,
 //! `LOOMFLOW_SEEDS=n` plays so many.
 
-use loomflow_fleet::order::ticket::Stage;
+use loomflow_fleet::maintenance::ticket::Stage;
 use loomflow_simulation::{Script, Shape, World, abreast, cores};
 
 /// Faults from the twelfth second to the sixtieth, then quiet: every ticket comes to its end.
@@ -26,17 +26,19 @@
         return Err(fail(&world, what));
     }
     let stages = world.stages();
-    let asked =
-        world.asked.iter().any(|(.., answer)| matches!(answer, Some(loomflow_fleet::order::Answer::Done(_))));
+    let asked = world
+        .asked
+        .iter()
+        .any(|(.., answer)| matches!(answer, Some(loomflow_fleet::maintenance::Response::Done(_))));
     if asked && stages.len() != machines {
         return Err(fail(&world, format!("{} tickets of {machines} are known: {stages:?}", stages.len())));
     }
-    let open = stages.iter().filter(|(.., stage)| !stage.is_over() && *stage != Stage::Overdue).count();
+    let open = stages.iter().filter(|(.., stage)| !stage.is_closed() && *stage != Stage::Overdue).count();
     if world.leader().is_none() || open > 0 {
         return Err(fail(&world, format!("{open} open, leader {:?}: {stages:?}", world.leader())));
     }
     for duty in (0..world.shape.duties).map(loomflow_simulation::world::duty) {
-        let record = world.leader().and_then(|one| world.machines[one].node.as_ref()?.record());
+        let record = world.leader().and_then(|one| world.machines[one].node.as_ref()?.fleet_state());
         let parked = record.is_some_and(|record| record.duties.duties()[&duty].parked.is_some());
         if world.owners(&duty).len() != usize::from(!parked) {
             return Err(fail(
