Simulation: standard names, the circle of witness and world gone, typed violations and docs

Change: `Simulation` holds the loop of events; config, machine, network, event queue, scenario, invariants and the parts of the simulation (faults, shutdown, duties, queries) are files of their own that import one way.

--- a/crates/loomflow-measure/src/order/faults.rs
+++ b/crates/loomflow-measure/src/order/faults.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use loomflow_simulation::abreast;
+use loomflow_simulation::run_parallel;
 use loomflow_standins::fleet::{Fleet, LONG, Plan};
 use loomflow_standins::relay::Trouble;
 use serde_json::Value;
@@ -31,7 +31,7 @@
 pub fn measure(report: &mut Report, quick: bool, program: &Path) {
     let rounds = if quick { 20 } else { 200 };
     let mut sum = Sum::default();
-    for (seed, played) in abreast(ABREAST, 1..rounds + 1, |seed| (seed, round(seed, program))) {
+    for (seed, played) in run_parallel(ABREAST, 1..rounds + 1, |seed| (seed, round(seed, program))) {
         sum.rounds += 1;
         sum.over_budget += u64::from(played.over_budget);
         sum.without_begin += played.without_begin;
--- a/crates/loomflow-measure/src/order/simulated.rs
+++ b/crates/loomflow-measure/src/order/simulated.rs
@@ -4,7 +4,7 @@
 
 use loomflow_fleet::maintenance::rules::{Limit, Rules};
 use loomflow_fleet::maintenance::ticket::{Stage, Urgency};
-use loomflow_simulation::{Fault, Script, Shape, World, abreast, cores};
+use loomflow_simulation::{Fault, Scenario, Simulation, SimulationConfig, core_count, run_parallel};
 
 use crate::report::Report;
 
@@ -26,17 +26,26 @@
     let mut violations = 0;
     for (machines, count) in counts {
         let began = Instant::now();
-        let failed: Vec<String> = abreast(cores(), 0..count, |seed| {
+        let failed: Vec<String> = run_parallel(core_count(), 0..count, |seed| {
             let voters = if machines >= 5 { 5 } else { 3 };
-            let shape = Shape { machines, voters, zones: 3, drift: 0.001, ..Shape::default() };
+            let config = SimulationConfig {
+                machines,
+                voters,
+                zones: 3,
+                max_clock_drift: 0.001,
+                ..SimulationConfig::default()
+            };
             // A few of the many ask: what is looked for is what breaks, not how long all take.
-            let mut script = Script::drawn(seed, machines, voters, 12_000, 40_000);
-            if let Some((_, Fault::RequestWork(who, _))) = script.steps.first_mut() {
+            let mut scenario = Scenario::random(seed, machines, voters, 12_000, 40_000);
+            if let Some((_, Fault::RequestWork(who, _))) = scenario.steps.first_mut() {
                 who.truncate(8);
             }
-            let mut world = World::new(shape, seed);
-            world.witness.thorough = machines <= 30;
-            world.play(&script, 60_000).err().map(|what| format!("{machines} members, seed {seed}: {what}"))
+            let mut simulation = Simulation::new(config, seed);
+            simulation.invariants.compares_states = machines <= 30;
+            simulation
+                .run(&scenario, 60_000)
+                .err()
+                .map(|what| format!("{machines} members, seed {seed}: {what}"))
         })
         .into_iter()
         .flatten()
@@ -60,18 +69,21 @@
     let mut rows = Vec::new();
     let mut figures = Vec::new();
     for machines in [30, 300, 1_000] {
-        let mut world = World::new(Shape { machines, voters: 5, zones: 3, ..Shape::default() }, 3);
-        world.witness.thorough = false;
+        let mut simulation = Simulation::new(
+            SimulationConfig { machines, voters: 5, zones: 3, ..SimulationConfig::default() },
+            3,
+        );
+        simulation.invariants.compares_states = false;
         // Forming is over by then.
         let formed = 25_000;
-        let _ = world.go(formed);
-        let (messages, bytes) = world.traffic();
+        let _ = simulation.run_until(formed);
+        let before = simulation.traffic();
         let began = Instant::now();
-        let _ = world.go(formed + span);
+        let _ = simulation.run_until(formed + span);
         let core = began.elapsed().as_secs_f64() / (span as f64 / 1000.0) / machines as f64;
-        let (more, more_bytes) = world.traffic();
+        let after = simulation.traffic();
         let each = |count: u64| count as f64 / machines as f64 / (span as f64 / 1000.0);
-        let one = (each(more - messages), each(more_bytes - bytes), core);
+        let one = (each(after.messages - before.messages), each(after.bytes - before.bytes), core);
         rows.push(vec![
             machines.to_string(),
             format!("{:.1}", one.0),
@@ -92,37 +104,43 @@
 
 /// How soon a death is known to all, and who is taken for dead that is not.
 fn deaths(report: &mut Report, quick: bool) {
-    let known: Vec<f64> = abreast(cores(), 0..if quick { 30 } else { 200 }, |seed| {
-        let mut world = World::new(Shape { machines: 30, voters: 5, ..Shape::default() }, seed);
-        world.witness.thorough = false;
-        let _ = world.go(20_000);
-        world.do_fault(&Fault::Loss(0.02, 0.0));
-        let died = world.now;
-        world.do_fault(&Fault::Kill(29));
-        while world.now < died + 60_000 && !world.all_know_dead(29) {
-            let next = world.now + 50;
-            let _ = world.go(next);
+    let known: Vec<f64> = run_parallel(core_count(), 0..if quick { 30 } else { 200 }, |seed| {
+        let mut simulation = Simulation::new(
+            SimulationConfig { machines: 30, voters: 5, ..SimulationConfig::default() },
+            seed,
+        );
+        simulation.invariants.compares_states = false;
+        let _ = simulation.run_until(20_000);
+        simulation.inject(&Fault::SetLoss(0.02, 0.0));
+        let died = simulation.now;
+        simulation.inject(&Fault::Kill(29));
+        while simulation.now < died + 60_000 && !simulation.is_known_dead(29) {
+            let next = simulation.now + 50;
+            let _ = simulation.run_until(next);
         }
-        (world.now - died) as f64 / 1000.0
+        (simulation.now - died) as f64 / 1000.0
     });
     let mut known = known;
     known.sort_by(f64::total_cmp);
     let at = |part: f64| known[((known.len() as f64 * part) as usize).min(known.len() - 1)];
     // Hours of a fleet with loss and short stops, in pieces side by side.
     let hours = if quick { 4 } else { 100 };
-    let false_deaths: u64 = abreast(cores(), 0..hours, |seed| {
-        let mut world = World::new(Shape { machines: 10, voters: 3, ..Shape::default() }, seed);
-        world.witness.thorough = false;
-        let _ = world.go(20_000);
-        world.do_fault(&Fault::Loss(0.02, 0.0));
+    let false_deaths: u64 = run_parallel(core_count(), 0..hours, |seed| {
+        let mut simulation = Simulation::new(
+            SimulationConfig { machines: 10, voters: 3, ..SimulationConfig::default() },
+            seed,
+        );
+        simulation.invariants.compares_states = false;
+        let _ = simulation.run_until(20_000);
+        simulation.inject(&Fault::SetLoss(0.02, 0.0));
         let mut rng = fastrand::Rng::with_seed(seed);
         let mut taken = 0;
-        let mut before = world.taken_for_dead();
+        let mut before = simulation.believed_dead();
         for _ in 0..720 {
-            world.do_fault(&Fault::Stop(rng.usize(0..10), 300));
-            let next = world.now + 5_000;
-            let _ = world.go(next);
-            let now = world.taken_for_dead();
+            simulation.inject(&Fault::Stop(rng.usize(0..10), 300));
+            let next = simulation.now + 5_000;
+            let _ = simulation.run_until(next);
+            let now = simulation.believed_dead();
             taken += now.difference(&before).count() as u64;
             before = now;
         }
@@ -160,7 +178,7 @@
     let bursts = [200, 250, 270, 290, 310, 400];
     let demand =
         |burst: u64, second: u64| if (burst..burst + BURST_SECONDS).contains(&second) { 7.4 } else { 5.0 };
-    let days = abreast(cores(), 0..bursts.len() as u64, |at| {
+    let days = run_parallel(core_count(), 0..bursts.len() as u64, |at| {
         let burst = bursts[at as usize];
         (
             day_by_the_fleet(burst, &|second| demand(burst, second)),
@@ -203,30 +221,43 @@
 
 fn day_by_the_fleet(burst: u64, demand: &dyn Fn(u64) -> f64) -> Day {
     let rules = Rules { max_out: Limit::Count(3), ..Rules::default() };
-    let work = WORK * 1000;
-    let mut world = World::new(Shape { machines: MACHINES, voters: 5, rules, work, ..Shape::default() }, 5);
-    world.witness.thorough = false;
-    let _ = world.go(20_000);
-    let start = world.now;
+    let maintenance_millis = WORK * 1000;
+    let mut simulation = Simulation::new(
+        SimulationConfig {
+            machines: MACHINES,
+            voters: 5,
+            rules,
+            maintenance_millis,
+            ..SimulationConfig::default()
+        },
+        5,
+    );
+    simulation.invariants.compares_states = false;
+    let _ = simulation.run_until(20_000);
+    let start = simulation.now;
     let mut day = Day::default();
     for second in 0..DAY {
-        world.do_fault(&Fault::Demand(demand(second)));
+        simulation.inject(&Fault::SetLoad(demand(second)));
         if second == ASKED_AT {
-            world.do_fault(&Fault::RequestWork((0..MACHINES).collect(), Urgency::Routine));
+            simulation.inject(&Fault::RequestWork((0..MACHINES).collect(), Urgency::Routine));
         }
-        let _ = world.go(start + (second + 1) * 1_000);
-        let lost = day.second(demand(second) * MACHINES as f64, BEARS * world.there() as f64);
+        let _ = simulation.run_until(start + (second + 1) * 1_000);
+        let lost = day.second(demand(second) * MACHINES as f64, BEARS * simulation.serving_count() as f64);
         let burst_began = start + burst * 1_000;
         // Digests that tell of the burst are a few seconds old at the most; what was granted before they came was not
         // granted in it.
         let seen = burst_began + 5_000;
         if (burst..burst + BURST_SECONDS).contains(&second)
-            && world.witness.left.iter().any(|(.., at)| *at > seen && *at + work > world.now)
+            && simulation
+                .invariants
+                .departures
+                .iter()
+                .any(|departure| departure.at > seen && departure.at + maintenance_millis > simulation.now)
         {
             day.granted_in_burst += lost;
         }
-        let stages = world.stages();
-        if stages.len() == MACHINES && stages.iter().all(|(.., stage)| *stage == Stage::Done) {
+        let stages = simulation.tickets();
+        if stages.len() == MACHINES && stages.iter().all(|ticket| ticket.stage == Stage::Done) {
             day.done.get_or_insert(second - ASKED_AT);
         }
     }
--- a/crates/loomflow-measure/src/owner/rounds.rs
+++ b/crates/loomflow-measure/src/owner/rounds.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use loomflow_fleet::duty::Token;
-use loomflow_simulation::abreast;
+use loomflow_simulation::run_parallel;
 use loomflow_standins::fleet::{Fleet, LONG, Plan};
 use loomflow_standins::relay::Trouble;
 use serde_json::Value;
@@ -99,7 +99,7 @@
 fn play(rounds: u64, compares: bool, program: &Path) -> Sum {
     let each = rounds / FLEETS;
     let mut all = Sum::default();
-    for sum in abreast(FLEETS as usize, 0..FLEETS, |seed| fleet(seed, each, compares, program)) {
+    for sum in run_parallel(FLEETS as usize, 0..FLEETS, |seed| fleet(seed, each, compares, program)) {
         all.rounds += sum.rounds;
         all.wrong.of_old_owners += sum.wrong.of_old_owners;
         all.wrong.interleaved += sum.wrong.interleaved;
