--- a/crates/loomflow-load/src/fleet.rs
+++ b/crates/loomflow-load/src/fleet.rs
@@ -15,16 +15,16 @@
 use crate::{Ending, Heard, Plan};
 
 /// A request is asked of so many servers at the most.
-const MOST_TRIES: u32 = 6;
+const MAX_ATTEMPTS: u32 = 6;
 /// A server that could not be reached is tried again after this.
-const AGAIN: Duration = Duration::from_millis(100);
+const RECONNECT_AFTER: Duration = Duration::from_millis(100);
 /// Requests open on one connection.
-const MOST_OPEN: usize = 32;
+const MAX_OPEN: usize = 32;
 
-struct Open {
-    asked: Instant,
+struct OpenRequest {
+    sent_at: Instant,
     body: Vec<u8>,
-    tries: u32,
+    attempts: u32,
 }
 
 /// One server as the gateways see it.
@@ -32,17 +32,17 @@
 struct Server {
     stream: Option<TcpStream>,
     /// Names the connection, so that one that ended says nothing of the next.
-    life: u64,
+    generation: u64,
     /// By connection and tag.
-    open: BTreeMap<(u64, u64), Open>,
+    open: BTreeMap<(u64, u64), OpenRequest>,
 }
 
 struct Shared {
     servers: Vec<Mutex<Server>>,
     addresses: Vec<SocketAddr>,
-    again: Mutex<VecDeque<Open>>,
+    retries: Mutex<VecDeque<OpenRequest>>,
     heard: Mutex<Heard>,
-    over: AtomicBool,
+    is_over: AtomicBool,
     tags: AtomicU64,
 }
 
@@ -59,17 +59,20 @@
 
 /// Starts a plan against servers; its span is the longest that it runs.
 pub fn start(servers: Vec<SocketAddr>, plan: Plan, patience: Duration) -> Running {
-    assert!(servers.iter().all(|one| one.ip().is_loopback()), "load goes to loopback only");
+    assert!(servers.iter().all(|server| server.ip().is_loopback()), "load goes to loopback only");
     let shared = Arc::new(Shared {
         servers: servers.iter().map(|_| Mutex::default()).collect(),
         addresses: servers,
-        again: Mutex::default(),
+        retries: Mutex::default(),
         heard: Mutex::new(Heard::new(Instant::now(), plan.aim)),
-        over: AtomicBool::new(false),
+        is_over: AtomicBool::new(false),
         tags: AtomicU64::new(0),
     });
     let (asks, connects) = (shared.clone(), shared.clone());
-    let threads = vec![thread::spawn(move || connect(&connects)), thread::spawn(move || ask(&asks, &plan))];
+    let threads = vec![
+        thread::spawn(move || keep_connected(&connects)),
+        thread::spawn(move || send_requests(&asks, &plan)),
+    ];
     Running { shared, threads, patience }
 }
 
@@ -82,22 +85,22 @@
     /// Asks nothing more, waits for what is open, and gives what came of all.
     pub fn end(self) -> Heard {
         let until = Instant::now() + self.patience;
-        self.shared.over.store(true, Ordering::Release);
-        let open = || self.shared.servers.iter().any(|one| !lock(one).open.is_empty());
-        while Instant::now() < until && (open() || !lock(&self.shared.again).is_empty()) {
+        self.shared.is_over.store(true, Ordering::Release);
+        let open = || self.shared.servers.iter().any(|server| !lock(server).open.is_empty());
+        while Instant::now() < until && (open() || !lock(&self.shared.retries).is_empty()) {
             thread::sleep(Duration::from_millis(10));
         }
         let mut heard = lock(&self.shared.heard);
         let now = Instant::now();
         for server in &self.shared.servers {
             let mut server = lock(server);
-            for one in std::mem::take(&mut server.open).into_values() {
-                heard.end(one.asked, Ending::Lost, now);
+            for request in std::mem::take(&mut server.open).into_values() {
+                heard.end(request.sent_at, Ending::Lost, now);
             }
             server.stream.take().map(|stream| stream.shutdown(Shutdown::Both));
         }
-        for one in lock(&self.shared.again).drain(..) {
-            heard.end(one.asked, Ending::Lost, now);
+        for request in lock(&self.shared.retries).drain(..) {
+            heard.end(request.sent_at, Ending::Lost, now);
         }
         let done = std::mem::replace(&mut *heard, Heard::new(now, Duration::ZERO));
         drop(heard);
@@ -107,32 +110,32 @@
 }
 
 /// Keeps a connection to every server that can be reached.
-fn connect(shared: &Arc<Shared>) {
-    while !shared.over.load(Ordering::Acquire) {
+fn keep_connected(shared: &Arc<Shared>) {
+    while !shared.is_over.load(Ordering::Acquire) {
         for (number, address) in shared.addresses.iter().enumerate() {
             if lock(&shared.servers[number]).stream.is_some() {
                 continue;
             }
-            let Ok(stream) = TcpStream::connect_timeout(address, AGAIN) else { continue };
+            let Ok(stream) = TcpStream::connect_timeout(address, RECONNECT_AFTER) else { continue };
             let _ = stream.set_nodelay(true);
             let Ok(reader) = stream.try_clone() else { continue };
             let mut server = lock(&shared.servers[number]);
-            server.life += 1;
+            server.generation += 1;
             server.stream = Some(stream);
-            let (shared, life) = (shared.clone(), server.life);
-            thread::spawn(move || read(&shared, number, life, Gateway::of(reader)));
+            let (shared, generation) = (shared.clone(), server.generation);
+            thread::spawn(move || read_answers(&shared, number, generation, Gateway::of(reader)));
         }
-        thread::sleep(AGAIN);
+        thread::sleep(RECONNECT_AFTER);
     }
 }
 
-fn ask(shared: &Arc<Shared>, plan: &Plan) {
+fn send_requests(shared: &Arc<Shared>, plan: &Plan) {
     let start = Instant::now();
     let (mut due, mut number, mut turn) = (0.0, 0, 0);
-    while start.elapsed() < plan.span && !shared.over.load(Ordering::Acquire) {
-        let waiting = lock(&shared.again).pop_front();
-        if let Some(one) = waiting {
-            say(shared, plan, one, &mut turn);
+    while start.elapsed() < plan.span && !shared.is_over.load(Ordering::Acquire) {
+        let waiting = lock(&shared.retries).pop_front();
+        if let Some(request) = waiting {
+            send(shared, plan, request, &mut turn);
             continue;
         }
         let now = start.elapsed().as_secs_f64();
@@ -142,80 +145,84 @@
         }
         due += 1.0 / plan.rate(due).max(0.1);
         number += 1;
-        let one = Open { asked: Instant::now(), body: plan.body(number), tries: 0 };
-        lock(&shared.heard).ask(one.body.clone(), one.asked);
-        say(shared, plan, one, &mut turn);
+        let request = OpenRequest { sent_at: Instant::now(), body: plan.body(number), attempts: 0 };
+        lock(&shared.heard).ask(request.body.clone(), request.sent_at);
+        send(shared, plan, request, &mut turn);
     }
     // What is turned away at the end is asked elsewhere all the same.
-    while !shared.over.load(Ordering::Acquire) || !lock(&shared.again).is_empty() {
-        let waiting = lock(&shared.again).pop_front();
+    while !shared.is_over.load(Ordering::Acquire) || !lock(&shared.retries).is_empty() {
+        let waiting = lock(&shared.retries).pop_front();
         match waiting {
-            Some(one) => say(shared, plan, one, &mut turn),
+            Some(request) => send(shared, plan, request, &mut turn),
             None => thread::sleep(Duration::from_millis(5)),
         }
-        if shared.servers.iter().all(|one| lock(one).stream.is_none()) && start.elapsed() > plan.span {
+        if shared.servers.iter().all(|server| lock(server).stream.is_none()) && start.elapsed() > plan.span {
             return;
         }
     }
 }
 
 /// Asks the next server that is there and has room.
-fn say(shared: &Shared, plan: &Plan, mut one: Open, turn: &mut usize) {
-    one.tries += 1;
+fn send(shared: &Shared, plan: &Plan, mut request: OpenRequest, turn: &mut usize) {
+    request.attempts += 1;
     for _ in 0..shared.servers.len() {
         *turn = (*turn + 1) % shared.servers.len();
         let mut server = lock(&shared.servers[*turn]);
-        let Server { stream, life, open } = &mut *server;
-        let Some(to) = stream.as_mut().filter(|_| open.len() < MOST_OPEN) else { continue };
+        let Server { stream, generation, open } = &mut *server;
+        let Some(to) = stream.as_mut().filter(|_| open.len() < MAX_OPEN) else { continue };
         let tag = shared.tags.fetch_add(1, Ordering::Relaxed) + 1;
-        if to.write_all(&call(tag, plan.class, &fields(&fresh_id()), &one.body)).is_ok() {
-            open.insert((*life, tag), one);
+        if to.write_all(&call(tag, plan.class, &fields(&fresh_id()), &request.body)).is_ok() {
+            open.insert((*generation, tag), request);
             return;
         }
         *stream = None;
     }
     // Nobody is there: once more after the others.
-    if one.tries < MOST_TRIES * 4 {
+    if request.attempts < MAX_ATTEMPTS * 4 {
         thread::sleep(Duration::from_millis(5));
-        lock(&shared.again).push_back(one);
+        lock(&shared.retries).push_back(request);
     } else {
-        lock(&shared.heard).end(one.asked, Ending::Lost, Instant::now());
+        lock(&shared.heard).end(request.sent_at, Ending::Lost, Instant::now());
     }
 }
 
-fn read(shared: &Shared, number: usize, life: u64, mut gateway: Gateway) {
+fn read_answers(shared: &Shared, number: usize, generation: u64, mut gateway: Gateway) {
     loop {
         let answer = match gateway.next(Duration::from_millis(500)) {
             Ok(Some(answer)) => answer,
-            Err(_) if !shared.over.load(Ordering::Acquire) => continue,
+            Err(_) if !shared.is_over.load(Ordering::Acquire) => continue,
             _ => break,
         };
         if answer.word == "BYE" {
             // What is open there is still answered; nothing new goes there.
             let mut server = lock(&shared.servers[number]);
-            if server.life == life {
+            if server.generation == generation {
                 server.stream = None;
             }
             continue;
         }
-        let Some(one) = lock(&shared.servers[number]).open.remove(&(life, answer.tag)) else { continue };
+        let Some(request) = lock(&shared.servers[number]).open.remove(&(generation, answer.tag)) else {
+            continue;
+        };
         match answer.word.as_str() {
-            "OK" if answer.body == result_of(&one.body) => {
-                lock(&shared.heard).end(one.asked, Ending::Served, Instant::now());
+            "OK" if answer.body == result_of(&request.body) => {
+                lock(&shared.heard).end(request.sent_at, Ending::Served, Instant::now());
             }
-            "OK" => lock(&shared.heard).end(one.asked, Ending::Wrong, Instant::now()),
-            "BUSY" if one.tries < MOST_TRIES => lock(&shared.again).push_back(one),
-            "BUSY" => lock(&shared.heard).end(one.asked, Ending::Refused, Instant::now()),
-            _ => lock(&shared.heard).end(one.asked, Ending::Failed, Instant::now()),
+            "OK" => lock(&shared.heard).end(request.sent_at, Ending::Wrong, Instant::now()),
+            "BUSY" if request.attempts < MAX_ATTEMPTS => lock(&shared.retries).push_back(request),
+            "BUSY" => lock(&shared.heard).end(request.sent_at, Ending::Refused, Instant::now()),
+            _ => lock(&shared.heard).end(request.sent_at, Ending::Failed, Instant::now()),
         }
     }
     let mut server = lock(&shared.servers[number]);
-    if server.life == life {
+    if server.generation == generation {
         server.stream = None;
     }
-    let (own, others) = std::mem::take(&mut server.open).into_iter().partition(|((of, _), _)| *of == life);
+    let (own, others) = std::mem::take(&mut server.open)
+        .into_iter()
+        .partition(|((connection, _), _)| *connection == generation);
     server.open = others;
     drop(server);
-    let own: BTreeMap<(u64, u64), Open> = own;
-    lock(&shared.again).extend(own.into_values());
+    let own: BTreeMap<(u64, u64), OpenRequest> = own;
+    lock(&shared.retries).extend(own.into_values());
 }
--- a/crates/loomflow-load/src/rounds.rs
+++ b/crates/loomflow-load/src/rounds.rs
@@ -5,9 +5,9 @@
 
 use loomflow_standins::fleet::Fleet;
 
-/// What is to be played.
+/// One round.
 pub struct Round {
-    /// How long a machine's work takes.
+    /// How long a machine's maintenance takes.
     pub work: Duration,
     /// After so long one that runs and is not on its way out is killed, and started again a while later.
     pub kill_after: Option<Duration>,
@@ -15,38 +15,66 @@
     pub limit: Duration,
 }
 
-/// What was seen.
-pub struct Seen {
+/// What was seen of a round from outside.
+pub struct RoundReport {
     /// Machines that were out of service at once because they ended by themselves, at the most.
     pub most_out: usize,
     /// Machines that ended by themselves, in their order.
     pub went: Vec<usize>,
     /// Exit codes other than 0.
     pub bad_ends: usize,
+    /// How long the round took.
     pub took: Duration,
     /// Every machine went once and no ticket is open.
     pub complete: bool,
+    /// What happened, since the start of the round.
     pub timeline: Vec<(Duration, String)>,
 }
 
 /// A killed machine is started again after this.
-const DEAD_FOR: Duration = Duration::from_secs(2);
+const RESTART_AFTER: Duration = Duration::from_secs(2);
 /// How often the fleet is asked whether it is done.
-const ASK: Duration = Duration::from_millis(250);
+const POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// How often the machines are looked at.
+const LOOP_INTERVAL: Duration = Duration::from_millis(10);
+/// Maintenance is requested for so much longer than it takes, s.
+const REQUESTED_MARGIN_SECONDS: u64 = 30;
 
-enum Absent {
-    Works(Instant),
-    Dead(Instant),
+/// Why a machine does not run, and until when.
+#[derive(Clone, Copy)]
+enum Absence {
+    Maintenance(Instant),
+    Killed(Instant),
 }
 
-fn name(one: usize) -> String {
-    format!("n{}", one + 1)
+impl Absence {
+    fn until(self) -> Instant {
+        match self {
+            Absence::Maintenance(until) | Absence::Killed(until) => until,
+        }
+    }
 }
 
-/// Plays the round: asks for all, and sees it through.
-pub fn play(fleet: &mut Fleet, round: &Round) -> Seen {
-    let start = Instant::now();
-    let mut seen = Seen {
+/// A round that is under way.
+struct RunningRound<'a> {
+    fleet: &'a mut Fleet,
+    round: &'a Round,
+    start: Instant,
+    report: RoundReport,
+    absences: Vec<Option<Absence>>,
+    has_killed: bool,
+    polled_at: Instant,
+    /// All have gone and no ticket is open.
+    has_ended: bool,
+}
+
+fn name(member: usize) -> String {
+    format!("n{}", member + 1)
+}
+
+/// Plays the round: requests tickets for all machines, and sees it through.
+pub fn play(fleet: &mut Fleet, round: &Round) -> RoundReport {
+    let report = RoundReport {
         most_out: 0,
         went: Vec::new(),
         bad_ends: 0,
@@ -54,59 +82,96 @@
         complete: false,
         timeline: Vec::new(),
     };
-    let note = |seen: &mut Seen, what: String| seen.timeline.push((start.elapsed(), what));
-    let minutes = format!("{}s", round.work.as_secs() + 30);
-    let (code, told, errors) =
-        fleet.say(0, &["work", "ask", "--all", "--reason", "round", "--for", &minutes]);
-    note(&mut seen, format!("asked for all: {}{}", told.trim(), errors.trim()));
-    if code != 0 {
-        return seen;
+    let start = Instant::now();
+    let absences = vec![None; fleet.members.len()];
+    let has_killed = round.kill_after.is_none();
+    let (polled_at, has_ended) = (start, false);
+    let mut running =
+        RunningRound { fleet, round, start, report, absences, has_killed, polled_at, has_ended };
+    if running.request_all() {
+        running.polled_at = Instant::now();
+        while running.start.elapsed() < round.limit && !running.has_ended {
+            running.step();
+            std::thread::sleep(LOOP_INTERVAL);
+        }
+        running.finish();
+    }
+    running.report
+}
+
+impl RunningRound<'_> {
+    fn note(&mut self, text: String) {
+        self.report.timeline.push((self.start.elapsed(), text));
+    }
+
+    /// Requests a ticket for each machine; false where that is refused.
+    fn request_all(&mut self) -> bool {
+        let duration = format!("{}s", self.round.work.as_secs() + REQUESTED_MARGIN_SECONDS);
+        let words = ["work", "ask", "--all", "--reason", "round", "--for", &duration];
+        let (code, output, errors) = self.fleet.run_command(0, &words);
+        self.note(format!("asked for all: {}{}", output.trim(), errors.trim()));
+        code == 0
     }
-    let mut absent: Vec<Option<Absent>> = fleet.members.iter().map(|_| None).collect();
-    let (mut killed, mut asked_at) = (round.kill_after.is_none(), Instant::now());
-    while start.elapsed() < round.limit {
-        for one in 0..absent.len() {
-            match absent[one] {
-                Some(Absent::Works(until) | Absent::Dead(until)) if Instant::now() >= until => {
-                    note(&mut seen, format!("{} is back", name(one)));
-                    fleet.start_one(one);
-                    absent[one] = None;
-                }
-                None if !fleet.runs(one) => {
-                    let code = fleet.members[one].world.exit_code();
-                    seen.bad_ends += usize::from(code != Some(0));
-                    seen.went.push(one);
-                    absent[one] = Some(Absent::Works(Instant::now() + round.work));
-                    let out = absent.iter().filter(|a| matches!(a, Some(Absent::Works(_)))).count();
-                    seen.most_out = seen.most_out.max(out);
-                    note(&mut seen, format!("{} has drained and is out, {out} at once", name(one)));
-                }
+
+    fn step(&mut self) {
+        for member in 0..self.absences.len() {
+            match self.absences[member] {
+                Some(absence) if Instant::now() >= absence.until() => self.restart(member),
+                None if !self.fleet.is_running(member) => self.departed(member),
                 _ => {}
             }
         }
-        if !killed && round.kill_after.is_some_and(|after| start.elapsed() >= after) {
-            // One that is not the fleet's next: whoever has been out already and is back.
-            if let Some(one) = (0..absent.len()).find(|one| seen.went.contains(one) && absent[*one].is_none())
-            {
-                killed = true;
-                note(&mut seen, format!("{} is killed", name(one)));
-                fleet.kill(one);
-                absent[one] = Some(Absent::Dead(Instant::now() + DEAD_FOR));
-            }
+        if !self.has_killed && self.round.kill_after.is_some_and(|after| self.start.elapsed() >= after) {
+            self.kill_one();
         }
-        if absent.iter().all(Option::is_none) && asked_at.elapsed() >= ASK && seen.went.len() >= absent.len()
-        {
-            asked_at = Instant::now();
-            let (code, open, _) = fleet.say(0, &["work", "list", "--json"]);
-            if code == 0 && open.trim() == "[]" {
-                seen.complete = killed && seen.went.len() == absent.len();
-                break;
-            }
+        let is_anybody_absent = self.absences.iter().any(Option::is_some);
+        let have_all_gone = self.report.went.len() >= self.absences.len();
+        if have_all_gone && !is_anybody_absent && self.polled_at.elapsed() >= POLL_INTERVAL {
+            self.poll_tickets();
+        }
+    }
+
+    fn restart(&mut self, member: usize) {
+        self.note(format!("{} is back", name(member)));
+        self.fleet.start_member(member);
+        self.absences[member] = None;
+    }
+
+    /// A machine has ended by itself.
+    fn departed(&mut self, member: usize) {
+        let code = self.fleet.members[member].world.exit_code();
+        self.report.bad_ends += usize::from(code != Some(0));
+        self.report.went.push(member);
+        self.absences[member] = Some(Absence::Maintenance(Instant::now() + self.round.work));
+        let out = self.absences.iter().filter(|absence| matches!(absence, Some(Absence::Maintenance(_))));
+        let out = out.count();
+        self.report.most_out = self.report.most_out.max(out);
+        self.note(format!("{} has drained and is out, {out} at once", name(member)));
+    }
+
+    /// Kills a machine that is not the fleet's next: one that has been out already and is back.
+    fn kill_one(&mut self) {
+        let is_back = |member: &usize| self.report.went.contains(member) && self.absences[*member].is_none();
+        let Some(member) = (0..self.absences.len()).find(is_back) else { return };
+        self.has_killed = true;
+        self.note(format!("{} is killed", name(member)));
+        self.fleet.kill(member);
+        self.absences[member] = Some(Absence::Killed(Instant::now() + RESTART_AFTER));
+    }
+
+    /// The round ends when no ticket is open; it is complete if every machine went once.
+    fn poll_tickets(&mut self) {
+        self.polled_at = Instant::now();
+        let (code, open, _) = self.fleet.run_command(0, &["work", "list", "--json"]);
+        if code == 0 && open.trim() == "[]" {
+            self.has_ended = true;
+            self.report.complete = self.has_killed && self.report.went.len() == self.absences.len();
         }
-        std::thread::sleep(Duration::from_millis(10));
     }
-    seen.took = start.elapsed();
-    let end = if seen.complete { "all have been out and are back" } else { "not all came back" };
-    note(&mut seen, end.into());
-    seen
+
+    fn finish(&mut self) {
+        self.report.took = self.start.elapsed();
+        let end = if self.report.complete { "all have been out and are back" } else { "not all came back" };
+        self.note(end.into());
+    }
 }
--- a/crates/loomflow-measure/src/order/cost.rs
+++ b/crates/loomflow-measure/src/order/cost.rs
@@ -18,7 +18,7 @@
 /// From the start of a voter whose folder holds ten thousand open tickets until it knows them again, s.
 fn start_with_many(program: &Path) -> f64 {
     let plan = Plan { members: 3, ..MADE };
-    let mut fleet = Fleet::start_with(plan, program).found(plan);
+    let mut fleet = Fleet::start_with(plan, program).bootstrap(plan);
     let requests = (0..MANY).map(|n| TicketRequest {
         server: format!("gone{n}"),
         zone: String::new(),
@@ -30,12 +30,12 @@
     let command = Command::CreateTickets(requests.collect());
     let request =
         OperatorRequest::Fleet(Request::Execute { issuer: Issuer::Operator("measure".into()), command });
-    fleet.say_line(0, &serde_json::to_string(&request).expect("a line"));
-    let open = |fleet: &Fleet, one: usize| fleet.here(one)["open"].as_u64().unwrap_or(0);
+    fleet.send_operator_line(0, &serde_json::to_string(&request).expect("a line"));
+    let open = |fleet: &Fleet, one: usize| fleet.local_status(one)["open"].as_u64().unwrap_or(0);
     fleet.wait_until("all voters have them", |fleet| (0..3).all(|one| open(fleet, one) == MANY as u64));
     fleet.kill(1);
     let began = Instant::now();
-    fleet.start_one(1);
+    fleet.start_member(1);
     while open(&fleet, 1) < MANY as u64 && began.elapsed() < Duration::from_secs(20) {
         std::thread::sleep(Duration::from_millis(5));
     }
@@ -51,7 +51,7 @@
     let mut off = World::new(site(20_000.0));
     off.program = program.to_owned();
     off.work_with(&worker);
-    let fleet = Fleet::start_with(MADE, program).found(MADE);
+    let fleet = Fleet::start_with(MADE, program).bootstrap(MADE);
     let on: Vec<u32> = fleet.members.iter().map(|member| member.world.pid()).collect();
     let before = (process::cpu(off.pid()), on.iter().map(|pid| process::cpu(*pid)).collect::<Vec<_>>());
     std::thread::sleep(span);
--- a/crates/loomflow-measure/src/order/faults.rs
+++ b/crates/loomflow-measure/src/order/faults.rs
@@ -6,14 +6,14 @@
 use std::time::{Duration, Instant};
 
 use loomflow_simulation::run_parallel;
-use loomflow_standins::fleet::{Fleet, LONG, Plan};
+use loomflow_standins::fleet::{Fleet, Plan, WAIT_TIMEOUT};
 use loomflow_standins::relay::Trouble;
 use serde_json::Value;
 
 use crate::report::Report;
 
 /// Rounds that are played side by side.
-const ABREAST: usize = 3;
+const PARALLEL_ROUNDS: usize = 3;
 /// The next grant comes at least so soon after the last fault, s.
 const GRANT_WITHIN: f64 = 10.0;
 
@@ -31,7 +31,7 @@
 pub fn measure(report: &mut Report, quick: bool, program: &Path) {
     let rounds = if quick { 20 } else { 200 };
     let mut sum = Sum::default();
-    for (seed, played) in run_parallel(ABREAST, 1..rounds + 1, |seed| (seed, round(seed, program))) {
+    for (seed, played) in run_parallel(PARALLEL_ROUNDS, 1..rounds + 1, |seed| (seed, round(seed, program))) {
         sum.rounds += 1;
         sum.over_budget += u64::from(played.over_budget);
         sum.without_begin += played.without_begin;
@@ -81,10 +81,6 @@
     told: String,
 }
 
-fn pick(rng: &mut fastrand::Rng, members: usize) -> usize {
-    rng.usize(0..members)
-}
-
 /// One fleet: tickets for all, faults for some seconds, then all is mended.
 fn round(seed: u64, program: &Path) -> Played {
     let mut rng = fastrand::Rng::with_seed(seed);
@@ -97,74 +93,86 @@
         work: Duration::from_millis(5),
         seed,
     };
-    let mut fleet = Fleet::start_with(plan, program).found(plan);
+    let mut fleet = Fleet::start_with(plan, program).bootstrap(plan);
     let mut tickets: BTreeMap<u64, usize> = BTreeMap::new();
     for server in 0..members {
-        tickets.insert(fleet.ask(0, server), server);
+        tickets.insert(fleet.request_ticket(0, server), server);
     }
-    let mut watch =
-        Watch { went: Vec::new(), out: BTreeMap::new(), dead: BTreeMap::new(), over_budget: false };
-    let faults = rng.usize(3..6);
-    for _ in 0..faults {
+    let mut watch = Watch::default();
+    for _ in 0..rng.usize(3..6) {
         watch.wait(&mut fleet, Duration::from_millis(rng.u64(300..1_500)));
-        let one = pick(&mut rng, members);
-        match rng.usize(0..6) {
-            0 if fleet.runs(one) => {
-                fleet.kill(one);
-                watch.dead.insert(one, Instant::now() + Duration::from_millis(rng.u64(300..3_000)));
-            }
-            1 if fleet.runs(one) => {
-                fleet.stop(one);
-                watch.wait(&mut fleet, Duration::from_millis(rng.u64(200..4_000)));
-                fleet.go_on(one);
-            }
-            2 => {
-                let side: Vec<usize> = (0..members).filter(|_| rng.f64() < 0.4).collect();
-                fleet.between(&side, Trouble { cut: true, ..Trouble::default() });
-            }
-            3 => fleet.trouble(one, pick(&mut rng, members), Trouble { cut: true, ..Trouble::default() }),
-            4 => fleet.trouble(one, pick(&mut rng, members), Trouble { stalled: true, ..Trouble::default() }),
-            _ => {
-                let (lost, delay) = (rng.f64() * 0.3, Duration::from_millis(rng.u64(0..300)));
-                let trouble = Trouble { lost, doubled: 0.2, swapped: 0.2, delay, ..Trouble::default() };
-                fleet.everywhere(trouble);
-            }
-        }
+        inject_fault(&mut fleet, &mut watch, &mut rng);
     }
     watch.wait(&mut fleet, Duration::from_millis(500));
-    fleet.everywhere(Trouble::default());
+    fleet.set_trouble_on_all_links(Trouble::default());
     // Whoever still is out or dead comes back now: the last fault is over when all run.
     watch.mend(&mut fleet);
-    let mended = Instant::now();
-    let before = grants(&fleet);
-    let all_over = |fleet: &Fleet| stages(fleet).values().all(|stage| stage == "Done");
-    let mut grant_after = None;
-    while mended.elapsed() < LONG * 3 {
-        watch.wait(&mut fleet, Duration::from_millis(100));
-        let now = grants(&fleet);
-        if grant_after.is_none() && (now > before || all_over(&fleet)) {
-            grant_after = Some(mended.elapsed().as_secs_f64());
-        }
-        if grant_after.is_some() {
-            break;
-        }
-    }
+    let grant_after = time_to_next_grant(&mut fleet, &mut watch);
     let known = stages(&fleet);
-    let begun = |server: usize| {
+    let has_begun = |server: usize| {
         tickets.iter().any(|(ticket, of)| {
             *of == server && events(&fleet).iter().any(|e| e["ticket"] == *ticket && e["stage"] == "Begun")
         })
     };
     Played {
         over_budget: watch.over_budget,
-        without_begin: watch.went.iter().filter(|one| !begun(**one)).count() as u64,
+        without_begin: watch.went.iter().filter(|server| !has_begun(**server)).count() as u64,
         lost: tickets.keys().filter(|ticket| !known.contains_key(ticket)).count() as u64,
         grant_after,
-        told: fleet.told(),
+        told: fleet.diagnostics(),
+    }
+}
+
+/// Draws one fault and begins it.
+fn inject_fault(fleet: &mut Fleet, watch: &mut Watch, rng: &mut fastrand::Rng) {
+    let members = fleet.members.len();
+    let member = rng.usize(0..members);
+    match rng.usize(0..6) {
+        0 if fleet.is_running(member) => {
+            fleet.kill(member);
+            watch.dead.insert(member, Instant::now() + Duration::from_millis(rng.u64(300..3_000)));
+        }
+        1 if fleet.is_running(member) => {
+            fleet.pause(member);
+            watch.wait(fleet, Duration::from_millis(rng.u64(200..4_000)));
+            fleet.resume(member);
+        }
+        2 => {
+            let side: Vec<usize> = (0..members).filter(|_| rng.f64() < 0.4).collect();
+            fleet.isolate(&side, Trouble { cut: true, ..Trouble::default() });
+        }
+        3 => {
+            let cut = Trouble { cut: true, ..Trouble::default() };
+            fleet.set_link_trouble(member, rng.usize(0..members), cut);
+        }
+        4 => {
+            let stalled = Trouble { stalled: true, ..Trouble::default() };
+            fleet.set_link_trouble(member, rng.usize(0..members), stalled);
+        }
+        _ => {
+            let (lost, delay) = (rng.f64() * 0.3, Duration::from_millis(rng.u64(0..300)));
+            let trouble = Trouble { lost, doubled: 0.2, swapped: 0.2, delay, ..Trouble::default() };
+            fleet.set_trouble_on_all_links(trouble);
+        }
+    }
+}
+
+/// How long the next grant takes, s; none where none comes.
+fn time_to_next_grant(fleet: &mut Fleet, watch: &mut Watch) -> Option<f64> {
+    let since = Instant::now();
+    let before = grants(fleet);
+    let are_all_done = |fleet: &Fleet| stages(fleet).values().all(|stage| stage == "Done");
+    while since.elapsed() < WAIT_TIMEOUT * 3 {
+        watch.wait(fleet, Duration::from_millis(100));
+        if grants(fleet) > before || are_all_done(fleet) {
+            return Some(since.elapsed().as_secs_f64());
+        }
     }
+    None
 }
 
 /// What is seen of the processes.
+#[derive(Default)]
 struct Watch {
     /// Machines that ended by themselves.
     went: Vec<usize>,
@@ -188,11 +196,11 @@
             let away = self.out.get(&one).or_else(|| self.dead.get(&one)).copied();
             match away {
                 Some(until) if Instant::now() >= until => {
-                    fleet.start_one(one);
+                    fleet.start_member(one);
                     self.out.remove(&one);
                     self.dead.remove(&one);
                 }
-                None if !fleet.runs(one) => {
+                None if !fleet.is_running(one) => {
                     self.went.push(one);
                     self.out.insert(one, Instant::now() + Duration::from_millis(800));
                     self.over_budget |= self.out.len() > 1;
@@ -212,7 +220,7 @@
 /// All that happened, by the word of whoever tells it.
 fn events(fleet: &Fleet) -> Vec<Value> {
     for one in 0..fleet.members.len() {
-        let (code, told, _) = fleet.say(one, &["work", "history", "--json"]);
+        let (code, told, _) = fleet.run_command(one, &["work", "history", "--json"]);
         if let (0, Ok(Value::Array(events))) = (code, serde_json::from_str(&told)) {
             return events;
         }
--- a/crates/loomflow-measure/src/order/work.rs
+++ b/crates/loomflow-measure/src/order/work.rs
@@ -25,7 +25,7 @@
 };
 
 fn started(program: &Path) -> (Fleet, fleet::Running) {
-    let fleet = Fleet::start_with(MADE, program).found(MADE);
+    let fleet = Fleet::start_with(MADE, program).bootstrap(MADE);
     let rate = LOAD * MEMBERS as f64 / WORK.as_secs_f64();
     let plan = Plan {
         class: "read",
@@ -68,10 +68,10 @@
         let out: Vec<usize> = (0..MEMBERS).filter(|one| one % 3 == third).collect();
         out.iter().for_each(|one| fleet.members[*one].world.terminate());
         for one in &out {
-            fleet.ended(*one);
+            fleet.wait_for_exit(*one);
         }
         std::thread::sleep(OUT_FOR);
-        out.iter().for_each(|one| fleet.start_one(*one));
+        out.iter().for_each(|one| fleet.start_member(*one));
         std::thread::sleep(Duration::from_secs(1));
     }
     let thirds_took = begun.elapsed();
@@ -99,7 +99,7 @@
 
 /// A machine's turn from its grant to its place being free, in the mean of all, s.
 fn cycle(fleet: &Fleet) -> f64 {
-    let (_, told, _) = fleet.say(0, &["work", "history", "--json"]);
+    let (_, told, _) = fleet.run_command(0, &["work", "history", "--json"]);
     let events: serde_json::Value = serde_json::from_str(&told).unwrap_or_default();
     let empty = Vec::new();
     let events = events.as_array().unwrap_or(&empty);
--- a/crates/loomflow-measure/src/owner/rounds.rs
+++ b/crates/loomflow-measure/src/owner/rounds.rs
@@ -7,7 +7,7 @@
 
 use loomflow_fleet::duty::Token;
 use loomflow_simulation::run_parallel;
-use loomflow_standins::fleet::{Fleet, LONG, Plan};
+use loomflow_standins::fleet::{Fleet, Plan, WAIT_TIMEOUT};
 use loomflow_standins::relay::Trouble;
 use serde_json::Value;
 
@@ -132,66 +132,60 @@
     text
 }
 
+/// What is done to a fleet in one round.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FaultKind {
+    Kill,
+    Terminate,
+    Pause,
+    Isolate,
+    StallLink,
+    DisturbLinks,
+}
+
+impl FaultKind {
+    const ALL: [FaultKind; 6] = [
+        FaultKind::Kill,
+        FaultKind::Terminate,
+        FaultKind::Pause,
+        FaultKind::Isolate,
+        FaultKind::StallLink,
+        FaultKind::DisturbLinks,
+    ];
+}
+
 /// Some rounds on one fleet.
 fn fleet(seed: u64, rounds: u64, compares: bool, program: &Path) -> Sum {
     let receiver = Receiver::start(compares);
     let mut rng = fastrand::Rng::with_seed(seed);
     let extra: &'static str = Box::leak(options(&receiver).into_boxed_str());
     let plan = Plan { members: MEMBERS, zones: 1, extra, cores: 2, work: Duration::from_millis(5), seed };
-    let mut fleet = Fleet::start_with(plan, program).found(plan);
+    let mut fleet = Fleet::start_with(plan, program).bootstrap(plan);
     let mut sum = Sum::default();
     settle(&fleet, &receiver, Instant::now());
     for round in 0..rounds {
-        let one = rng.usize(0..MEMBERS);
+        let member = rng.usize(0..MEMBERS);
         // Without the comparison only what an old owner does is looked for.
-        let kind = if compares { rng.usize(0..6) } else { 2 };
+        let kind =
+            if compares { FaultKind::ALL[rng.usize(0..FaultKind::ALL.len())] } else { FaultKind::Pause };
         let span = Duration::from_millis(rng.u64(2_000..3_500));
         let before = owners(&fleet);
         let began = Instant::now();
-        match kind {
-            0 => {
-                fleet.kill(one);
-                std::thread::sleep(span);
-                settle(&fleet, &receiver, Instant::now());
-                note_moves(&mut sum, &before, &owners(&fleet), one);
-                fleet.start_one(one);
-            }
-            1 => {
-                fleet.members[one].world.terminate();
-                fleet.ended(one);
-                std::thread::sleep(span / 2);
-                fleet.start_one(one);
-            }
-            2 => {
-                let all = fleet.stop_all(one);
-                std::thread::sleep(span * 2);
-                fleet.continue_all(&all);
-            }
-            3 => {
-                fleet.between(&[one], Trouble { cut: true, ..Trouble::default() });
-                std::thread::sleep(span * 2);
-            }
-            4 => {
-                let other = rng.usize(0..MEMBERS);
-                fleet.trouble(one, other, Trouble { stalled: true, ..Trouble::default() });
-                std::thread::sleep(span);
-            }
-            _ => {
-                let (lost, delay) = (rng.f64() * 0.2, Duration::from_millis(rng.u64(0..100)));
-                fleet.everywhere(Trouble { lost, doubled: 0.2, swapped: 0.2, delay, ..Trouble::default() });
-                std::thread::sleep(span);
-            }
+        inject_fault(&mut fleet, &mut rng, kind, member, span);
+        if kind == FaultKind::Kill {
+            settle(&fleet, &receiver, Instant::now());
+            note_moves(&mut sum, &before, &owners(&fleet), member);
+            fleet.start_member(member);
         }
-        fleet.everywhere(Trouble::default());
-        let mended = Instant::now();
-        let took = settle(&fleet, &receiver, mended);
+        fleet.set_trouble_on_all_links(Trouble::default());
+        let took = settle(&fleet, &receiver, Instant::now());
         if took > OWNED_WITHIN {
             sum.without_owner += 1;
-            sum.told.push(format!("round {round}, fault {kind}: {took:.1} s\n{}", fleet.told()));
+            sum.told.push(format!("round {round}, fault {kind:?}: {took:.1} s\n{}", fleet.diagnostics()));
         }
         match kind {
-            0 => sum.killed.extend(gaps(&receiver, began)),
-            1 => sum.left.extend(gaps(&receiver, began)),
+            FaultKind::Kill => sum.killed.extend(gaps(&receiver, began)),
+            FaultKind::Terminate => sum.left.extend(gaps(&receiver, began)),
             _ => {}
         }
         sum.rounds += 1;
@@ -202,10 +196,46 @@
     sum
 }
 
+/// Carries out a fault and waits while it lasts; a machine that was killed is not started again.
+fn inject_fault(fleet: &mut Fleet, rng: &mut fastrand::Rng, kind: FaultKind, member: usize, span: Duration) {
+    match kind {
+        FaultKind::Kill => {
+            fleet.kill(member);
+            std::thread::sleep(span);
+        }
+        FaultKind::Terminate => {
+            fleet.members[member].world.terminate();
+            fleet.wait_for_exit(member);
+            std::thread::sleep(span / 2);
+            fleet.start_member(member);
+        }
+        FaultKind::Pause => {
+            let processes = fleet.pause_process_tree(member);
+            std::thread::sleep(span * 2);
+            fleet.resume_processes(&processes);
+        }
+        FaultKind::Isolate => {
+            fleet.isolate(&[member], Trouble { cut: true, ..Trouble::default() });
+            std::thread::sleep(span * 2);
+        }
+        FaultKind::StallLink => {
+            let other = rng.usize(0..MEMBERS);
+            fleet.set_link_trouble(member, other, Trouble { stalled: true, ..Trouble::default() });
+            std::thread::sleep(span);
+        }
+        FaultKind::DisturbLinks => {
+            let (lost, delay) = (rng.f64() * 0.2, Duration::from_millis(rng.u64(0..100)));
+            let trouble = Trouble { lost, doubled: 0.2, swapped: 0.2, delay, ..Trouble::default() };
+            fleet.set_trouble_on_all_links(trouble);
+            std::thread::sleep(span);
+        }
+    }
+}
+
 /// Waits until every duty was heard of after a moment; gives how long that took, s.
 fn settle(fleet: &Fleet, receiver: &Receiver, since: Instant) -> f64 {
     while receiver.heard_since(since) < DUTIES {
-        assert!(since.elapsed() < LONG, "duties without an owner\n{}", fleet.told());
+        assert!(since.elapsed() < WAIT_TIMEOUT, "duties without an owner\n{}", fleet.diagnostics());
         std::thread::sleep(Duration::from_millis(20));
     }
     since.elapsed().as_secs_f64()
@@ -225,7 +255,7 @@
 /// Owner and token of each duty, by the word of whoever tells it.
 fn owners(fleet: &Fleet) -> BTreeMap<String, (String, Token)> {
     for one in 0..MEMBERS {
-        let (code, told, _) = fleet.say(one, &["duty", "list", "--json"]);
+        let (code, told, _) = fleet.run_command(one, &["duty", "list", "--json"]);
         if let (0, Ok(Value::Array(rows))) = (code, serde_json::from_str(&told)) {
             let row = |row: &Value| {
                 let owner = row["owner"]["name"].as_str()?.to_owned();
--- a/crates/loomflow-server/src/trial.rs
+++ b/crates/loomflow-server/src/trial.rs
@@ -64,7 +64,7 @@
     println!(
         "One may be out at once. Each is taken out for two seconds of work; one is killed in the middle.\n"
     );
-    let mut fleet = Fleet::start_with(plan, &program).found(plan);
+    let mut fleet = Fleet::start_with(plan, &program).bootstrap(plan);
     let listens = fleet.members.iter().map(|member| member.world.listen).collect();
     let load = Plan {
         class: "read",
@@ -86,7 +86,7 @@
     for (at, what) in &seen.timeline {
         println!("{:>7.1} s  {what}", at.as_secs_f64());
     }
-    println!("\n{}", fleet.say(0, &["work", "history"]).1);
+    println!("\n{}", fleet.run_command(0, &["work", "history"]).1);
     println!(
         "Of {} requests {} were answered in time, {} late, {} refused, {} failed, {} lost.",
         heard.asked, heard.in_time, heard.late, heard.refused, heard.failed, heard.lost
--- a/crates/loomflow-server/tests/duties.rs
+++ b/crates/loomflow-server/tests/duties.rs
@@ -59,7 +59,7 @@
 }
 
 fn owner(fleet: &Fleet, by: usize, duty: &str) -> Option<usize> {
-    let (_, told, _) = fleet.say(by, &["duty", "show", duty, "--json"]);
+    let (_, told, _) = fleet.run_command(by, &["duty", "show", duty, "--json"]);
     let row: serde_json::Value = serde_json::from_str(&told).ok()?;
     row["owner"]["name"].as_str()?.strip_prefix('n')?.parse::<usize>().ok().map(|n| n - 1)
 }
@@ -79,38 +79,38 @@
 /// Nothing was let in after what a later owner wrote.
 fn in_order(fleet: &Fleet) {
     let all = lines(fleet);
-    assert!(all.windows(2).all(|pair| pair[0] <= pair[1]), "{all:?}\n{}", fleet.told());
+    assert!(all.windows(2).all(|pair| pair[0] <= pair[1]), "{all:?}\n{}", fleet.diagnostics());
 }
 
 #[test]
 fn one_server_does_the_work_and_when_it_is_killed_another_goes_on() {
-    let mut fleet = Fleet::founded(FOUR);
+    let mut fleet = Fleet::start_bootstrapped(FOUR);
     let first = written_after(&fleet, 0);
     let one = owned(&fleet, 0, "writes");
     fleet.kill(one);
     let second = written_after(&fleet, first);
     assert!(second > first);
-    fleet.start_one(one);
-    fleet.wait_until("the old one is back", |fleet| !fleet.here(one).is_null());
+    fleet.start_member(one);
+    fleet.wait_until("the old one is back", |fleet| !fleet.local_status(one).is_null());
     in_order(&fleet);
 }
 
 #[test]
 fn an_owner_stopped_between_its_check_and_its_act_is_refused_when_it_goes_on() {
-    let mut fleet = Fleet::founded(FOUR);
+    let mut fleet = Fleet::start_bootstrapped(FOUR);
     let first = written_after(&fleet, 0);
     let one = owned(&fleet, 0, "writes");
     let by = (one + 1) % 4;
     // The server, the process that watches over the job, and the job: nothing of it can end itself in time.
-    let all = fleet.stop_all(one);
+    let all = fleet.pause_process_tree(one);
     assert!(all.len() >= 3, "{all:?}");
     let second = written_after(&fleet, first);
     let other = owned(&fleet, by, "writes");
     assert_ne!(other, one);
     // A second owner, and a third.
-    assert_eq!(fleet.say(by, &["duty", "release", "writes"]).0, 0);
+    assert_eq!(fleet.run_command(by, &["duty", "release", "writes"]).0, 0);
     let third = written_after(&fleet, second);
-    fleet.continue_all(&all);
+    fleet.resume_processes(&all);
     fleet.wait_until("what was stopped has ended", |_| all[1..].iter().all(|pid| !runs(*pid)));
     let lines_then = lines(&fleet).len();
     fleet.wait_until("the third goes on", |fleet| lines(fleet).len() > lines_then);
@@ -125,49 +125,49 @@
 
 #[test]
 fn an_owner_cut_off_from_the_voters_ends_its_job_though_it_still_reaches_the_receiver() {
-    let mut fleet = Fleet::founded(FOUR);
+    let mut fleet = Fleet::start_bootstrapped(FOUR);
     let first = written_after(&fleet, 0);
     let one = owned(&fleet, 0, "writes");
-    fleet.between(&[one], CUT);
+    fleet.isolate(&[one], CUT);
     let second = written_after(&fleet, first);
     assert!(owned(&fleet, (one + 1) % 4, "writes") != one && second > first);
-    fleet.between(&[one], NONE);
+    fleet.isolate(&[one], NONE);
     fleet.wait_until("it hears again", |fleet| owner(fleet, one, "writes").is_some());
     in_order(&fleet);
 }
 
 #[test]
 fn an_owner_that_leaves_hands_over_before_it_is_gone() {
-    let mut fleet = Fleet::founded(FOUR);
+    let mut fleet = Fleet::start_bootstrapped(FOUR);
     let first = written_after(&fleet, 0);
     let one = owned(&fleet, 0, "writes");
     fleet.members[one].world.terminate();
-    assert_eq!(fleet.ended(one), Some(0));
+    assert_eq!(fleet.wait_for_exit(one), Some(0));
     written_after(&fleet, first);
-    let (_, told, _) = fleet.say((one + 1) % 4, &["duty", "history", "--json"]);
+    let (_, told, _) = fleet.run_command((one + 1) % 4, &["duty", "history", "--json"]);
     let events: serde_json::Value = serde_json::from_str(&told).unwrap();
     let lost = events.as_array().unwrap().iter().filter(|event| event["what"] == "Lost").count();
-    assert_eq!(lost, 0, "{told}\n{}", fleet.told());
+    assert_eq!(lost, 0, "{told}\n{}", fleet.diagnostics());
     in_order(&fleet);
 }
 
 #[test]
 fn a_command_runs_as_owner_only_and_says_so_by_its_code() {
-    let mut fleet = Fleet::founded(FOUR);
+    let mut fleet = Fleet::start_bootstrapped(FOUR);
     let one = owned(&fleet, 0, "by-hand");
     let other = (one + 1) % 4;
-    assert_eq!(fleet.say_then(other, &["duty", "run", "by-hand"], &["true"]).0, 3);
+    assert_eq!(fleet.run_command_with(other, &["duty", "run", "by-hand"], &["true"]).0, 3);
     let (code, told, _) =
-        fleet.say_then(one, &["duty", "run", "by-hand"], &["sh", "-c", "echo $LOOMFLOW_DUTY"]);
+        fleet.run_command_with(one, &["duty", "run", "by-hand"], &["sh", "-c", "echo $LOOMFLOW_DUTY"]);
     assert_eq!((code, told.trim()), (0, "by-hand"));
-    assert_eq!(fleet.say_then(one, &["duty", "run", "by-hand"], &["false"]).0, 1);
-    assert_eq!(fleet.say(one, &["duty", "run", "by-hand"]).0, 2, "which command?");
+    assert_eq!(fleet.run_command_with(one, &["duty", "run", "by-hand"], &["false"]).0, 1);
+    assert_eq!(fleet.run_command(one, &["duty", "run", "by-hand"]).0, 2, "which command?");
     // It ignores the word to end, and is ended by force; the duty is handed over after it.
     let folder = fleet.folder().to_owned();
     let script = format!("trap '' TERM; echo > {0}/began; while :; do sleep 0.1; done", folder.display());
     let waits = fleet.spawn(one, &["duty", "run", "by-hand"], &["sh", "-c", &script]);
     fleet.wait_until("it runs", |fleet| fleet.folder().join("began").exists());
-    assert_eq!(fleet.say(other, &["duty", "release", "by-hand"]).0, 0);
+    assert_eq!(fleet.run_command(other, &["duty", "release", "by-hand"]).0, 0);
     let ended = waits.wait_with_output().expect("it ends");
     assert_eq!(ended.status.code(), Some(4));
     fleet.wait_until("another owns it", |fleet| owner(fleet, other, "by-hand").is_some_and(|now| now != one));
@@ -191,25 +191,25 @@
     jobs:
       - {name: fails, every: 1s, run: [sh, -c, exit 7]}
 ";
-    let fleet = Fleet::founded(Plan { extra: FAILS, ..FOUR });
+    let fleet = Fleet::start_bootstrapped(Plan { extra: FAILS, ..FOUR });
     let parked = |fleet: &Fleet| {
-        let (_, told, _) = fleet.say(0, &["duty", "show", "fails", "--json"]);
+        let (_, told, _) = fleet.run_command(0, &["duty", "show", "fails", "--json"]);
         serde_json::from_str::<serde_json::Value>(&told).ok()?["parked"].as_str().map(str::to_owned)
     };
     fleet.wait_until("it is parked", |fleet| parked(fleet).is_some());
     assert!(parked(&fleet).unwrap().contains("exit status"), "{:?}", parked(&fleet));
     fleet.wait_until("nobody owns it", |fleet| owner(fleet, 0, "fails").is_none());
-    assert_eq!(fleet.say(1, &["duty", "resume", "fails"]).0, 0);
+    assert_eq!(fleet.run_command(1, &["duty", "resume", "fails"]).0, 0);
     owned(&fleet, 0, "fails");
-    assert_eq!(fleet.say(1, &["duty", "park", "no-such", "x"]).0, 1);
+    assert_eq!(fleet.run_command(1, &["duty", "park", "no-such", "x"]).0, 1);
 }
 
 #[test]
 fn all_voters_restarted_at_once_and_the_leader_killed_move_no_token_back() {
-    let mut fleet = Fleet::founded(FOUR);
+    let mut fleet = Fleet::start_bootstrapped(FOUR);
     let first = written_after(&fleet, 0);
     (0..3).for_each(|voter| fleet.kill(voter));
-    (0..3).for_each(|voter| fleet.start_one(voter));
+    (0..3).for_each(|voter| fleet.start_member(voter));
     fleet.wait_until("a leader", |fleet| fleet.leader(1).is_some());
     written_after(&fleet, first - 1);
     let leader = fleet.leader(1).unwrap();
@@ -223,10 +223,10 @@
 
 #[test]
 fn with_loss_doubling_and_disorder_on_every_link_the_work_goes_on_in_order() {
-    let mut fleet = Fleet::founded(FOUR);
+    let mut fleet = Fleet::start_bootstrapped(FOUR);
     let first = written_after(&fleet, 0);
     let delay = std::time::Duration::from_millis(20);
-    fleet.everywhere(Trouble { lost: 0.1, doubled: 0.2, swapped: 0.2, delay, ..NONE });
+    fleet.set_trouble_on_all_links(Trouble { lost: 0.1, doubled: 0.2, swapped: 0.2, delay, ..NONE });
     let one = owned(&fleet, 0, "writes");
     fleet.kill(one);
     written_after(&fleet, first);
@@ -235,10 +235,10 @@
 
 #[test]
 fn every_member_has_the_last_summary_and_its_owner() {
-    let fleet = Fleet::founded(Plan { extra: "  duties: {lease_s: 2, summary_s: 1}\n", ..FOUR });
+    let fleet = Fleet::start_bootstrapped(Plan { extra: "  duties: {lease_s: 2, summary_s: 1}\n", ..FOUR });
     for one in 0..4 {
         fleet.wait_until("it is told", |fleet| {
-            let summary = fleet.here(one)["summary"].clone();
+            let summary = fleet.local_status(one)["summary"].clone();
             summary["summary"]["members"] == 4 && summary["token"].as_u64() > Some(0)
         });
     }
@@ -246,7 +246,8 @@
 
 #[test]
 fn a_campaign_goes_on_where_its_killed_owner_stopped_and_asks_for_nothing_twice() {
-    let mut fleet = Fleet::founded(Plan { extra: "  warm_for_s: 1\n  duties: {lease_s: 2}\n", ..FOUR });
+    let mut fleet =
+        Fleet::start_bootstrapped(Plan { extra: "  warm_for_s: 1\n  duties: {lease_s: 2}\n", ..FOUR });
     let file = fleet.folder().join("campaign.yaml");
     std::fs::write(
         &file,
@@ -254,9 +255,9 @@
     )
     .unwrap();
     let words = ["work", "ask", "--file", file.to_str().unwrap(), "--campaign", "kernel", "--batch", "1"];
-    assert_eq!(fleet.say(0, &words).0, 0);
-    assert_eq!(fleet.say(0, &words).0, 1, "it is there already");
-    assert_eq!(fleet.ended(3), Some(0));
+    assert_eq!(fleet.run_command(0, &words).0, 0);
+    assert_eq!(fleet.run_command(0, &words).0, 1, "it is there already");
+    assert_eq!(fleet.wait_for_exit(3), Some(0));
     let by = |owner: usize| (owner + 1) % 3;
     let owner = owned(&fleet, 0, "campaign");
     if owner != 3 {
@@ -264,21 +265,21 @@
         fleet.wait_until("another carries it", |fleet| {
             self::owner(fleet, by(owner), "campaign").is_some_and(|now| now != owner)
         });
-        fleet.start_one(owner);
+        fleet.start_member(owner);
     }
-    fleet.start_one(3);
-    assert_eq!(fleet.ended(2), Some(0), "{}", fleet.told());
-    fleet.start_one(2);
+    fleet.start_member(3);
+    assert_eq!(fleet.wait_for_exit(2), Some(0), "{}", fleet.diagnostics());
+    fleet.start_member(2);
     fleet.wait_until("it is done", |fleet| {
-        fleet.say(0, &["work", "campaigns", "--json"]).1.contains("\"Done\"")
+        fleet.run_command(0, &["work", "campaigns", "--json"]).1.contains("\"Done\"")
     });
-    let (_, told, _) = fleet.say(0, &["work", "history", "--json"]);
+    let (_, told, _) = fleet.run_command(0, &["work", "history", "--json"]);
     let events: serde_json::Value = serde_json::from_str(&told).unwrap();
     let tickets: std::collections::BTreeSet<u64> =
         events.as_array().unwrap().iter().filter_map(|event| event["ticket"].as_u64()).collect();
     assert_eq!(tickets.len(), 2, "{told}");
-    assert_eq!(fleet.say(0, &["work", "drop", "kernel"]).0, 0);
-    assert_eq!(fleet.say(0, &["work", "drop", "kernel"]).0, 1);
+    assert_eq!(fleet.run_command(0, &["work", "drop", "kernel"]).0, 0);
+    assert_eq!(fleet.run_command(0, &["work", "drop", "kernel"]).0, 1);
 }
 
 // ---- The receiver's half ----
--- a/crates/loomflow-server/tests/fleet.rs
+++ b/crates/loomflow-server/tests/fleet.rs
@@ -38,8 +38,8 @@
 
 /// A machine's turn from its end to its return.
 fn goes_and_returns(fleet: &mut Fleet, one: usize, by: usize, ticket: u64) {
-    assert_eq!(fleet.ended(one), Some(0), "{}", fleet.told());
-    fleet.start_one(one);
+    assert_eq!(fleet.wait_for_exit(one), Some(0), "{}", fleet.diagnostics());
+    fleet.start_member(one);
     comes_to(fleet, by, ticket, "Done");
 }
 
@@ -51,91 +51,91 @@
 
 #[test]
 fn one_is_taken_out_drains_and_comes_back_and_a_script_can_wait_for_it() {
-    let mut fleet = Fleet::founded(Plan::default());
-    assert_eq!(fleet.say(0, &["work", "wait", "--server", "n2"]).0, 3, "it has no ticket");
-    let ticket = fleet.ask(0, 1);
-    assert_eq!(fleet.say(0, &["work", "wait", "--server", "n2"]).0, 0);
-    assert_eq!(fleet.ended(1), Some(0));
+    let mut fleet = Fleet::start_bootstrapped(Plan::default());
+    assert_eq!(fleet.run_command(0, &["work", "wait", "--server", "n2"]).0, 3, "it has no ticket");
+    let ticket = fleet.request_ticket(0, 1);
+    assert_eq!(fleet.run_command(0, &["work", "wait", "--server", "n2"]).0, 0);
+    assert_eq!(fleet.wait_for_exit(1), Some(0));
     comes_to(&fleet, 0, ticket, "Out");
-    fleet.start_one(1);
+    fleet.start_member(1);
     comes_to(&fleet, 0, ticket, "Done");
-    assert!(fleet.runs(0) && fleet.runs(1) && fleet.runs(2));
+    assert!(fleet.is_running(0) && fleet.is_running(1) && fleet.is_running(2));
     let socket = fleet.members[0].state.with_extension("sock");
     assert_eq!(std::fs::metadata(socket).unwrap().permissions().mode() & 0o777, 0o600);
 }
 
 #[test]
 fn a_leader_killed_between_granting_and_telling_loses_nothing() {
-    let mut fleet = Fleet::founded(FOUR);
-    (0..3).for_each(|voter| fleet.trouble(voter, 3, CUT));
-    let ticket = fleet.ask(0, 3);
+    let mut fleet = Fleet::start_bootstrapped(FOUR);
+    (0..3).for_each(|voter| fleet.set_link_trouble(voter, 3, CUT));
+    let ticket = fleet.request_ticket(0, 3);
     comes_to(&fleet, 0, ticket, "Granted");
     let leader = fleet.leader(0).unwrap();
     fleet.kill(leader);
-    (0..3).for_each(|voter| fleet.trouble(voter, 3, NONE));
+    (0..3).for_each(|voter| fleet.set_link_trouble(voter, 3, NONE));
     let by = (leader + 1) % 3;
     // The dead one takes the only place until it is back.
     fleet.wait_until("another leads", |fleet| fleet.leader(by).is_some_and(|now| now != leader));
-    fleet.start_one(leader);
+    fleet.start_member(leader);
     goes_and_returns(&mut fleet, 3, by, ticket);
 }
 
 #[test]
 fn a_grant_that_comes_late_and_again_does_nothing_once_it_is_void() {
-    let mut fleet = Fleet::founded(FOUR_TWO);
-    (0..3).for_each(|voter| fleet.trouble(voter, 3, STALLED));
-    let ticket = fleet.ask(0, 3);
+    let mut fleet = Fleet::start_bootstrapped(FOUR_TWO);
+    (0..3).for_each(|voter| fleet.set_link_trouble(voter, 3, STALLED));
+    let ticket = fleet.request_ticket(0, 3);
     comes_to(&fleet, 0, ticket, "Granted");
     fleet.wait_until("the grant lapses", |fleet| fleet.stage(0, ticket) != "Granted");
-    assert_eq!(fleet.say(0, &["work", "withdraw", &ticket.to_string()]).0, 0);
-    let other = fleet.ask(0, 2);
-    assert_eq!(fleet.ended(2), Some(0));
+    assert_eq!(fleet.run_command(0, &["work", "withdraw", &ticket.to_string()]).0, 0);
+    let other = fleet.request_ticket(0, 2);
+    assert_eq!(fleet.wait_for_exit(2), Some(0));
     // Everything that was held back arrives, and then arrives once more.
-    (0..3).for_each(|voter| fleet.trouble(voter, 3, NONE));
-    (0..2).for_each(|voter| fleet.say_again(voter, 3));
+    (0..3).for_each(|voter| fleet.set_link_trouble(voter, 3, NONE));
+    (0..2).for_each(|voter| fleet.replay_messages(voter, 3));
     fleet.wait_until("it is seen to serve", |fleet| {
         let status = fleet.status(0);
         let members = status["members"].as_array().cloned().unwrap_or_default();
         members.iter().any(|member| member["name"] == "n4" && member["standing"] == "Serving")
     });
-    assert!(fleet.runs(3), "{}", fleet.told());
+    assert!(fleet.is_running(3), "{}", fleet.diagnostics());
     is_up(&fleet, 3);
-    fleet.start_one(2);
+    fleet.start_member(2);
     comes_to(&fleet, 0, other, "Done");
-    assert!(fleet.runs(3) && fleet.stage(0, ticket) == "Withdrawn", "{}", fleet.told());
+    assert!(fleet.is_running(3) && fleet.stage(0, ticket) == "Withdrawn", "{}", fleet.diagnostics());
 }
 
 #[test]
 fn stopped_after_its_grant_and_woken_after_it_lapsed_a_server_goes_on_serving() {
-    let mut fleet = Fleet::founded(FOUR_TWO);
-    (0..3).for_each(|voter| fleet.trouble(voter, 3, STALLED));
-    let ticket = fleet.ask(0, 3);
+    let mut fleet = Fleet::start_bootstrapped(FOUR_TWO);
+    (0..3).for_each(|voter| fleet.set_link_trouble(voter, 3, STALLED));
+    let ticket = fleet.request_ticket(0, 3);
     comes_to(&fleet, 0, ticket, "Granted");
-    fleet.stop(3);
+    fleet.pause(3);
     // The grant lies in its sockets while it stands still.
-    (0..3).for_each(|voter| fleet.trouble(voter, 3, NONE));
+    (0..3).for_each(|voter| fleet.set_link_trouble(voter, 3, NONE));
     fleet.wait_until("the grant lapses", |fleet| fleet.stage(0, ticket) != "Granted");
-    assert_eq!(fleet.say(0, &["work", "withdraw", &ticket.to_string()]).0, 0);
-    fleet.go_on(3);
-    let other = fleet.ask(0, 2);
+    assert_eq!(fleet.run_command(0, &["work", "withdraw", &ticket.to_string()]).0, 0);
+    fleet.resume(3);
+    let other = fleet.request_ticket(0, 2);
     goes_and_returns(&mut fleet, 2, 0, other);
-    assert!(fleet.runs(3), "{}", fleet.told());
+    assert!(fleet.is_running(3), "{}", fleet.diagnostics());
     is_up(&fleet, 3);
 }
 
 #[test]
 fn stopped_while_it_drains_a_server_keeps_its_place_until_it_is_back() {
-    let mut fleet = Fleet::founded(FOUR);
-    let first = fleet.ask(0, 3);
+    let mut fleet = Fleet::start_bootstrapped(FOUR);
+    let first = fleet.request_ticket(0, 3);
     fleet.wait_until("it begins", |fleet| {
         matches!(fleet.stage(0, first).as_str(), "Begun" | "Draining" | "Out")
     });
-    if fleet.runs(3) {
-        fleet.stop(3);
-        let second = fleet.ask(0, 2);
+    if fleet.is_running(3) {
+        fleet.pause(3);
+        let second = fleet.request_ticket(0, 2);
         fleet.wait_until("it is seen to be gone", |fleet| fleet.stage(0, first) == "Out");
-        assert!(fleet.runs(2), "{}", fleet.told());
-        fleet.go_on(3);
+        assert!(fleet.is_running(2), "{}", fleet.diagnostics());
+        fleet.resume(3);
         goes_and_returns(&mut fleet, 3, 0, first);
         goes_and_returns(&mut fleet, 2, 0, second);
     } else {
@@ -145,117 +145,118 @@
 
 #[test]
 fn of_two_sides_of_a_cut_the_one_without_a_majority_serves_and_lets_nobody_go() {
-    let mut fleet = Fleet::founded(FOUR_TWO);
+    let mut fleet = Fleet::start_bootstrapped(FOUR_TWO);
     let leader = fleet.leader(0).unwrap();
     let others: Vec<usize> = (0..3).filter(|voter| *voter != leader).collect();
-    fleet.between(&[leader, 3], CUT);
+    fleet.isolate(&[leader, 3], CUT);
     fleet.wait_until("the majority has another leader", |fleet| {
         fleet.leader(others[0]).is_some_and(|now| now != leader)
     });
     // Asked on the wrong side: no leader is there.
-    assert_eq!(fleet.say(leader, &["work", "ask", "--server", "n4"]).0, 1);
+    assert_eq!(fleet.run_command(leader, &["work", "ask", "--server", "n4"]).0, 1);
     is_up(&fleet, leader);
     is_up(&fleet, 3);
-    assert!(fleet.runs(3));
-    fleet.between(&[leader, 3], NONE);
-    let ticket = fleet.ask(leader, 3);
+    assert!(fleet.is_running(3));
+    fleet.isolate(&[leader, 3], NONE);
+    let ticket = fleet.request_ticket(leader, 3);
     goes_and_returns(&mut fleet, 3, others[0], ticket);
 }
 
 #[test]
 fn a_server_that_hears_and_is_not_heard_does_not_go() {
-    let mut fleet = Fleet::founded(FOUR_TWO);
-    (0..3).for_each(|voter| fleet.trouble(3, voter, CUT));
+    let mut fleet = Fleet::start_bootstrapped(FOUR_TWO);
+    (0..3).for_each(|voter| fleet.set_link_trouble(3, voter, CUT));
     fleet.wait_until("it is not seen", |fleet| {
-        let (_, told, _) = fleet.say(0, &["explain", "n4", "--json"]);
+        let (_, told, _) = fleet.run_command(0, &["explain", "n4", "--json"]);
         !told.contains("Serving") || fleet.status(0)["members"][3]["age"].as_u64() > Some(4_000)
     });
-    let ticket = fleet.ask(0, 3);
-    let (code, told, _) = fleet.say(0, &["explain", "n4"]);
+    let ticket = fleet.request_ticket(0, 3);
+    let (code, told, _) = fleet.run_command(0, &["explain", "n4"]);
     assert!(code == 0 && told.contains("WAITS"), "{told}");
-    assert!(fleet.runs(3) && fleet.stage(0, ticket) == "Asked", "{}", fleet.told());
-    (0..3).for_each(|voter| fleet.trouble(3, voter, NONE));
+    assert!(fleet.is_running(3) && fleet.stage(0, ticket) == "Asked", "{}", fleet.diagnostics());
+    (0..3).for_each(|voter| fleet.set_link_trouble(3, voter, NONE));
     goes_and_returns(&mut fleet, 3, 0, ticket);
 }
 
 #[test]
 fn one_that_does_not_return_is_overdue_and_its_place_is_free_when_it_is_written_off() {
-    let mut fleet = Fleet::founded(FOUR);
-    let (code, told, errors) = fleet.say(0, &["work", "ask", "--server", "n4", "--for", "1s", "--json"]);
+    let mut fleet = Fleet::start_bootstrapped(FOUR);
+    let (code, told, errors) =
+        fleet.run_command(0, &["work", "ask", "--server", "n4", "--for", "1s", "--json"]);
     assert_eq!(code, 0, "{errors}");
     assert_eq!(told.split_whitespace().collect::<String>(), "[1]");
-    assert_eq!(fleet.ended(3), Some(0));
+    assert_eq!(fleet.wait_for_exit(3), Some(0));
     comes_to(&fleet, 0, 1, "Overdue");
-    let second = fleet.ask(0, 2);
-    assert!(fleet.say(0, &["explain", "n3"]).1.contains("2 would be out at once, 1 may be"));
-    assert_eq!(fleet.say(0, &["work", "write-off", "1"]).0, 0);
-    assert_eq!(fleet.say(0, &["work", "write-off", "1"]).0, 1, "once");
-    assert!(fleet.runs(2));
+    let second = fleet.request_ticket(0, 2);
+    assert!(fleet.run_command(0, &["explain", "n3"]).1.contains("2 would be out at once, 1 may be"));
+    assert_eq!(fleet.run_command(0, &["work", "write-off", "1"]).0, 0);
+    assert_eq!(fleet.run_command(0, &["work", "write-off", "1"]).0, 1, "once");
+    assert!(fleet.is_running(2));
     // Back under no ticket, it counts no more.
-    fleet.start_one(3);
+    fleet.start_member(3);
     goes_and_returns(&mut fleet, 2, 0, second);
 }
 
 #[test]
 fn a_voter_back_with_an_empty_folder_is_another_voter() {
-    let mut fleet = Fleet::founded(FOUR);
+    let mut fleet = Fleet::start_bootstrapped(FOUR);
     let index = fleet.status(0)["index"].as_u64();
     fleet.kill(1);
-    fleet.lose_folder(1);
-    fleet.start_one(1);
+    fleet.delete_data_directory(1);
+    fleet.start_member(1);
     fleet.wait_until("it is let in", |fleet| {
         let status = fleet.status(1);
         let votes =
             status["members"][1]["voter"] == true && status["voters"].as_array().map(Vec::len) == Some(3);
         votes && status["index"].as_u64() > index
     });
-    let ticket = fleet.ask(1, 3);
+    let ticket = fleet.request_ticket(1, 3);
     goes_and_returns(&mut fleet, 3, 0, ticket);
 }
 
 #[test]
 fn a_voter_whose_disk_is_full_serves_and_votes_again_when_there_is_room() {
-    let mut fleet = Fleet::founded(FOUR);
+    let mut fleet = Fleet::start_bootstrapped(FOUR);
     let leader = fleet.leader(0).unwrap();
     let by = (leader + 1) % 3;
     fleet.fill_disk(leader, true);
-    let ticket = fleet.ask(by, 3);
+    let ticket = fleet.request_ticket(by, 3);
     fleet.wait_until("another leads", |fleet| fleet.leader(by).is_some_and(|now| now != leader));
     is_up(&fleet, leader);
     goes_and_returns(&mut fleet, 3, by, ticket);
     fleet.fill_disk(leader, false);
     fleet.wait_until("it takes part again", |fleet| {
-        fleet.here(leader)["fault"].is_null() && fleet.here(leader)["leader"].is_string()
+        fleet.local_status(leader)["fault"].is_null() && fleet.local_status(leader)["leader"].is_string()
     });
 }
 
 #[test]
 fn all_voters_restarted_at_once_go_on_where_they_were() {
-    let mut fleet = Fleet::founded(FOUR);
-    assert_eq!(fleet.say(0, &["work", "pause", "a", "release"]).0, 0);
-    let ticket = fleet.ask(0, 3);
+    let mut fleet = Fleet::start_bootstrapped(FOUR);
+    assert_eq!(fleet.run_command(0, &["work", "pause", "a", "release"]).0, 0);
+    let ticket = fleet.request_ticket(0, 3);
     (0..3).for_each(|voter| fleet.kill(voter));
     is_up(&fleet, 3);
-    (0..3).for_each(|voter| fleet.start_one(voter));
+    (0..3).for_each(|voter| fleet.start_member(voter));
     fleet.wait_until("it is known again", |fleet| fleet.stage(1, ticket) == "Asked");
     assert_eq!(fleet.status(1)["paused"], "a release");
-    assert_eq!(fleet.say(2, &["work", "resume"]).0, 0);
+    assert_eq!(fleet.run_command(2, &["work", "resume"]).0, 0);
     goes_and_returns(&mut fleet, 3, 1, ticket);
 }
 
 #[test]
 fn the_leaders_own_turn_comes_after_it_has_handed_over() {
-    let mut fleet = Fleet::founded(FOUR);
+    let mut fleet = Fleet::start_bootstrapped(FOUR);
     let leader = fleet.leader(0).unwrap();
     let by = (leader + 1) % 3;
-    let ticket = fleet.ask(by, leader);
+    let ticket = fleet.request_ticket(by, leader);
     goes_and_returns(&mut fleet, leader, by, ticket);
     assert_ne!(fleet.leader(by), Some(leader));
 }
 
 #[test]
 fn what_is_garbled_too_long_or_foreign_ends_its_link_and_nothing_else() {
-    let mut fleet = Fleet::founded(Plan::default());
+    let mut fleet = Fleet::start_bootstrapped(Plan::default());
     let mut other = fleet.members[1].world.config.clone();
     other["name"] = "n9".into();
     let said: [Vec<u8>; 3] = [
@@ -273,28 +274,28 @@
     // Half a message and silence hold nobody up.
     let mut half = TcpStream::connect(fleet.members[0].address).unwrap();
     half.write_all(&[0, 0]).unwrap();
-    let ticket = fleet.ask(0, 1);
+    let ticket = fleet.request_ticket(0, 1);
     goes_and_returns(&mut fleet, 1, 0, ticket);
 }
 
 #[test]
 fn sigterm_without_a_ticket_is_obeyed_and_counted_and_a_second_fleet_is_not_founded() {
-    let mut fleet = Fleet::founded(FOUR);
-    assert_eq!(fleet.say(0, &["found"]).0, 1);
-    assert_eq!(fleet.say(1, &["found"]).0, 1);
-    assert_eq!(fleet.say(3, &["found"]).0, 1, "not a voter");
+    let mut fleet = Fleet::start_bootstrapped(FOUR);
+    assert_eq!(fleet.run_command(0, &["found"]).0, 1);
+    assert_eq!(fleet.run_command(1, &["found"]).0, 1);
+    assert_eq!(fleet.run_command(3, &["found"]).0, 1, "not a voter");
     fleet.members[3].world.terminate();
-    assert_eq!(fleet.ended(3), Some(0));
+    assert_eq!(fleet.wait_for_exit(3), Some(0));
     fleet.wait_until("it is counted", |fleet| fleet.status(0)["unasked"] == 1);
-    let ticket = fleet.ask(0, 2);
-    assert!(fleet.runs(2) && fleet.stage(0, ticket) == "Asked");
-    fleet.start_one(3);
+    let ticket = fleet.request_ticket(0, 2);
+    assert!(fleet.is_running(2) && fleet.stage(0, ticket) == "Asked");
+    fleet.start_member(3);
     goes_and_returns(&mut fleet, 2, 0, ticket);
 }
 
 #[test]
 fn with_loss_doubling_and_disorder_on_every_link_each_goes_once() {
-    let mut fleet = Fleet::founded(FOUR);
+    let mut fleet = Fleet::start_bootstrapped(FOUR);
     let bad = Trouble {
         lost: 0.1,
         doubled: 0.2,
@@ -302,9 +303,9 @@
         delay: std::time::Duration::from_millis(20),
         ..NONE
     };
-    fleet.everywhere(bad);
+    fleet.set_trouble_on_all_links(bad);
     for server in [3, 1] {
-        let ticket = fleet.ask(0, server);
+        let ticket = fleet.request_ticket(0, server);
         goes_and_returns(&mut fleet, server, 0, ticket);
     }
 }
--- a/crates/loomflow-standins/src/fleet.rs
+++ b/crates/loomflow-standins/src/fleet.rs
@@ -17,7 +17,7 @@
 use crate::{Worker, World, site};
 
 /// Longer than anything takes; only a failure waits for it.
-pub const LONG: Duration = Duration::from_secs(60);
+pub const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
 pub struct Member {
     pub world: World,
@@ -57,8 +57,8 @@
     }
 }
 
-fn name(one: usize) -> String {
-    format!("n{}", one + 1)
+fn name(member_index: usize) -> String {
+    format!("n{}", member_index + 1)
 }
 
 impl Fleet {
@@ -80,18 +80,18 @@
         let relays: Vec<Vec<Option<Relay>>> =
             (0..plan.members).map(|from| (0..plan.members).map(|to| relay(from, to)).collect()).collect();
         let voters = if plan.members >= 5 { 5 } else { 3 };
-        let members = (0..plan.members).map(|one| {
+        let members = (0..plan.members).map(|member_index| {
             let mut settings = site(20_000.0);
             settings["Domain"]["Cpus"] = plan.cores.into();
             settings["Domain"]["CallsByClass"] = serde_json::json!([false, false, false]);
             let mut world = World::new(settings);
             world.program = program.to_owned();
-            world.config["name"] = name(one).into();
-            let state = folder.join(name(one));
+            world.config["name"] = name(member_index).into();
+            let state = folder.join(name(member_index));
             let mut text = format!(
                 "fleet:\n  name: test\n  zone: z{}\n  listen: {}\n  state: {}\n",
-                one % plan.zones,
-                addresses[one],
+                member_index % plan.zones,
+                addresses[member_index],
                 state.display()
             );
             text += plan.extra;
@@ -100,7 +100,7 @@
                 text += &format!("    - {{name: {}, address: \"{address}\"}}\n", name(voter));
             }
             text += "  via:\n";
-            for (to, relay) in relays[one].iter().enumerate() {
+            for (to, relay) in relays[member_index].iter().enumerate() {
                 if let Some(relay) = relay {
                     text += &format!("    {}: \"{}\"\n", name(to), relay.address);
                 }
@@ -111,23 +111,23 @@
                 ("LOOMFLOW_TEST_PROGRAM".into(), program.to_owned().into()),
             ];
             let worker = Worker::start(plan.cores, plan.work);
-            Member { world, worker, state, address: addresses[one] }
+            Member { world, worker, state, address: addresses[member_index] }
         });
         let mut fleet =
             Fleet { members: members.collect(), relays, folder, seed: plan.seed, timeline: Vec::new() };
-        (0..plan.members).for_each(|one| fleet.start_one(one));
+        (0..plan.members).for_each(|member_index| fleet.start_member(member_index));
         fleet
     }
 
     /// As [`Fleet::start`], with the fleet founded by the first, and all voters in.
-    pub fn founded(plan: Plan) -> Fleet {
-        Fleet::start(plan).found(plan)
+    pub fn start_bootstrapped(plan: Plan) -> Fleet {
+        Fleet::start(plan).bootstrap(plan)
     }
 
     /// Founds the fleet by the first, and waits until all voters are in.
-    pub fn found(self, plan: Plan) -> Fleet {
+    pub fn bootstrap(self, plan: Plan) -> Fleet {
         let fleet = self;
-        let (code, _, errors) = fleet.say(0, &["found"]);
+        let (code, _, errors) = fleet.run_command(0, &["found"]);
         assert_eq!(code, 0, "{errors}");
         let all = plan.members;
         fleet.wait_until("all are here and the voters vote", |fleet| {
@@ -141,33 +141,33 @@
         fleet
     }
 
-    pub fn start_one(&mut self, one: usize) {
-        self.note(format!("{} starts", name(one)));
-        let member = &mut self.members[one];
+    pub fn start_member(&mut self, member_index: usize) {
+        self.note(format!("{} starts", name(member_index)));
+        let member = &mut self.members[member_index];
         let worker = member.worker.clone();
         member.world.work_with(&worker);
     }
 
-    pub fn kill(&mut self, one: usize) {
-        self.note(format!("{} is killed", name(one)));
-        self.members[one].world.kill();
+    pub fn kill(&mut self, member_index: usize) {
+        self.note(format!("{} is killed", name(member_index)));
+        self.members[member_index].world.kill();
     }
 
     /// SIGSTOP, and SIGCONT.
-    pub fn stop(&mut self, one: usize) {
-        self.note(format!("{} is stopped", name(one)));
-        self.members[one].world.signal("STOP");
+    pub fn pause(&mut self, member_index: usize) {
+        self.note(format!("{} is stopped", name(member_index)));
+        self.members[member_index].world.signal("STOP");
     }
 
-    pub fn go_on(&mut self, one: usize) {
-        self.note(format!("{} goes on", name(one)));
-        self.members[one].world.signal("CONT");
+    pub fn resume(&mut self, member_index: usize) {
+        self.note(format!("{} goes on", name(member_index)));
+        self.members[member_index].world.signal("CONT");
     }
 
     /// SIGSTOP to a server and all that it started; gives their ids, its own first.
-    pub fn stop_all(&mut self, one: usize) -> Vec<u32> {
-        self.note(format!("{} and all that it started are stopped", name(one)));
-        let mut all = vec![self.members[one].world.pid()];
+    pub fn pause_process_tree(&mut self, member_index: usize) -> Vec<u32> {
+        self.note(format!("{} and all that it started are stopped", name(member_index)));
+        let mut all = vec![self.members[member_index].world.pid()];
         // Nobody starts another one while all before it are stopped.
         let mut next = 0;
         while let Some(pid) = all.get(next).copied() {
@@ -178,7 +178,7 @@
         all
     }
 
-    pub fn continue_all(&mut self, all: &[u32]) {
+    pub fn resume_processes(&mut self, all: &[u32]) {
         self.note(format!("{all:?} go on"));
         for pid in all.iter().rev().filter_map(|pid| Pid::from_raw(*pid as i32)) {
             let _ = kill_process(pid, Signal::CONT);
@@ -191,21 +191,21 @@
     }
 
     /// Its folder is lost.
-    pub fn lose_folder(&mut self, one: usize) {
-        self.note(format!("{} loses its folder", name(one)));
-        std::fs::remove_dir_all(&self.members[one].state).expect("the folder is removed");
+    pub fn delete_data_directory(&mut self, member_index: usize) {
+        self.note(format!("{} loses its folder", name(member_index)));
+        std::fs::remove_dir_all(&self.members[member_index].state).expect("the folder is removed");
     }
 
     /// Nothing more can be written to its folder, or again: a limit on the size of files stands in for a disk.
-    pub fn fill_disk(&mut self, one: usize, full: bool) {
-        self.note(format!("the disk of {} is {}", name(one), if full { "full" } else { "free" }));
-        let pid = Pid::from_raw(self.members[one].world.pid() as i32);
+    pub fn fill_disk(&mut self, member_index: usize, full: bool) {
+        self.note(format!("the disk of {} is {}", name(member_index), if full { "full" } else { "free" }));
+        let pid = Pid::from_raw(self.members[member_index].world.pid() as i32);
         let limit = Rlimit { current: full.then_some(0), maximum: None };
         prlimit(pid, Resource::Fsize, limit).expect("a limit");
     }
 
     /// Trouble on the way from one to another.
-    pub fn trouble(&mut self, from: usize, to: usize, trouble: Trouble) {
+    pub fn set_link_trouble(&mut self, from: usize, to: usize, trouble: Trouble) {
         self.note(format!("from {} to {}: {trouble:?}", name(from), name(to)));
         if let Some(relay) = &self.relays[from][to] {
             relay.set(trouble);
@@ -213,27 +213,27 @@
     }
 
     /// Trouble between these and all others, both ways.
-    pub fn between(&mut self, side: &[usize], trouble: Trouble) {
+    pub fn isolate(&mut self, side: &[usize], trouble: Trouble) {
         for from in 0..self.members.len() {
             for to in 0..self.members.len() {
                 if side.contains(&from) != side.contains(&to) {
-                    self.trouble(from, to, trouble);
+                    self.set_link_trouble(from, to, trouble);
                 }
             }
         }
     }
 
     /// The same on all links.
-    pub fn everywhere(&mut self, trouble: Trouble) {
+    pub fn set_trouble_on_all_links(&mut self, trouble: Trouble) {
         for from in 0..self.members.len() {
             for to in 0..self.members.len() {
-                self.trouble(from, to, trouble);
+                self.set_link_trouble(from, to, trouble);
             }
         }
     }
 
     /// All that one said to another is said once more.
-    pub fn say_again(&mut self, from: usize, to: usize) {
+    pub fn replay_messages(&mut self, from: usize, to: usize) {
         self.note(format!("{} to {}: all again", name(from), name(to)));
         if let Some(relay) = &self.relays[from][to] {
             relay.say_again();
@@ -244,21 +244,26 @@
         self.timeline.push((Instant::now(), what));
     }
 
-    fn command(&self, one: usize, words: &[&str]) -> Command {
-        let member = &self.members[one];
+    fn command(&self, member_index: usize, words: &[&str]) -> Command {
+        let member = &self.members[member_index];
         let mut command = Command::new(&member.world.program);
         command.arg("fleet").args(words).arg("--socket").arg(member.state.with_extension("sock"));
         command
     }
 
     /// `loomflow fleet …` on a member's machine: exit code, output and errors.
-    pub fn say(&self, one: usize, words: &[&str]) -> (i32, String, String) {
-        self.say_then(one, words, &[])
+    pub fn run_command(&self, member_index: usize, words: &[&str]) -> (i32, String, String) {
+        self.run_command_with(member_index, words, &[])
     }
 
     /// The same with a command behind it, which is waited for.
-    pub fn say_then(&self, one: usize, words: &[&str], then: &[&str]) -> (i32, String, String) {
-        let mut command = self.command(one, words);
+    pub fn run_command_with(
+        &self,
+        member_index: usize,
+        words: &[&str],
+        then: &[&str],
+    ) -> (i32, String, String) {
+        let mut command = self.command(member_index, words);
         if !then.is_empty() {
             command.arg("--").args(then);
         }
@@ -268,19 +273,19 @@
     }
 
     /// The same, and not waited for.
-    pub fn spawn(&self, one: usize, words: &[&str], then: &[&str]) -> Child {
-        let mut command = self.command(one, words);
+    pub fn spawn(&self, member_index: usize, words: &[&str], then: &[&str]) -> Child {
+        let mut command = self.command(member_index, words);
         command.arg("--").args(then).stdout(Stdio::null()).stderr(Stdio::null());
         command.spawn().expect("the command runs")
     }
 
-    pub fn status(&self, one: usize) -> Value {
-        serde_json::from_str(&self.say(one, &["status", "--json"]).1).unwrap_or(Value::Null)
+    pub fn status(&self, member_index: usize) -> Value {
+        serde_json::from_str(&self.run_command(member_index, &["status", "--json"]).1).unwrap_or(Value::Null)
     }
 
     /// A line on a member's operators' socket, and its answer.
-    pub fn say_line(&self, one: usize, say: &str) -> Value {
-        let socket = self.members[one].state.with_extension("sock");
+    pub fn send_operator_line(&self, member_index: usize, say: &str) -> Value {
+        let socket = self.members[member_index].state.with_extension("sock");
         let Ok(mut stream) = UnixStream::connect(socket) else { return Value::Null };
         let _ = writeln!(stream, "{say}");
         let mut line = String::new();
@@ -289,33 +294,33 @@
     }
 
     /// What a member sees by itself, with a leader or without.
-    pub fn here(&self, one: usize) -> Value {
-        self.say_line(one, "\"Here\"")["Here"].clone()
+    pub fn local_status(&self, member_index: usize) -> Value {
+        self.send_operator_line(member_index, "\"Here\"")["Here"].clone()
     }
 
-    /// The number of the one who leads, by the word of `one`.
-    pub fn leader(&self, one: usize) -> Option<usize> {
-        let status = self.status(one);
+    /// The number of the one who leads, by the word of `member_index`.
+    pub fn leader(&self, member_index: usize) -> Option<usize> {
+        let status = self.status(member_index);
         let leader = status["leader"].as_str()?;
         (0..self.members.len()).find(|other| name(*other) == leader)
     }
 
-    /// Asks for a server's turn, by the word of `one`; gives the ticket.
-    pub fn ask(&mut self, one: usize, server: usize) -> u64 {
+    /// Asks for a server's turn, by the word of `member_index`; gives the ticket.
+    pub fn request_ticket(&mut self, member_index: usize, server: usize) -> u64 {
         let words = ["work", "ask", "--server", &name(server), "--reason", "test", "--for", "1m", "--json"];
         let mut told = (1, String::new(), String::new());
         self.wait_until("a ticket is taken", |fleet| {
-            told = fleet.say(one, &words);
+            told = fleet.run_command(member_index, &words);
             told.0 == 0
         });
-        self.note(format!("{} asked for by {}", name(server), name(one)));
+        self.note(format!("{} asked for by {}", name(server), name(member_index)));
         let tickets: Vec<u64> = serde_json::from_str(&told.1).expect("a list of tickets");
         tickets[0]
     }
 
-    /// The stage of a ticket, by the word of `one`.
-    pub fn stage(&self, one: usize, ticket: u64) -> String {
-        let (_, history, _) = self.say(one, &["work", "history", "--json"]);
+    /// The stage of a ticket, by the word of `member_index`.
+    pub fn stage(&self, member_index: usize, ticket: u64) -> String {
+        let (_, history, _) = self.run_command(member_index, &["work", "history", "--json"]);
         let events: Value = serde_json::from_str(&history).unwrap_or(Value::Null);
         let last =
             events.as_array().and_then(|all| all.iter().rev().find(|e| e["ticket"] == ticket).cloned());
@@ -323,55 +328,57 @@
     }
 
     /// Whether a process runs.
-    pub fn runs(&mut self, one: usize) -> bool {
-        self.members[one].world.runs()
+    pub fn is_running(&mut self, member_index: usize) -> bool {
+        self.members[member_index].world.runs()
     }
 
     /// Waits for something, generously. The failure tells seed and timeline.
     pub fn wait_until(&self, what: &str, mut holds: impl FnMut(&Fleet) -> bool) {
-        let until = Instant::now() + LONG;
+        let until = Instant::now() + WAIT_TIMEOUT;
         while !holds(self) {
-            assert!(Instant::now() < until, "never: {what}\n{}", self.told());
+            assert!(Instant::now() < until, "never: {what}\n{}", self.diagnostics());
             std::thread::sleep(Duration::from_millis(50));
         }
     }
 
     /// Waits until a process has ended by itself, and gives its exit code.
-    pub fn ended(&mut self, one: usize) -> Option<i32> {
-        let until = Instant::now() + LONG;
-        while self.runs(one) {
-            assert!(Instant::now() < until, "{} does not end\n{}", name(one), self.told());
+    pub fn wait_for_exit(&mut self, member_index: usize) -> Option<i32> {
+        let until = Instant::now() + WAIT_TIMEOUT;
+        while self.is_running(member_index) {
+            assert!(Instant::now() < until, "{} does not end\n{}", name(member_index), self.diagnostics());
             std::thread::sleep(Duration::from_millis(20));
         }
-        self.note(format!("{} has ended", name(one)));
-        self.members[one].world.exit_code()
+        self.note(format!("{} has ended", name(member_index)));
+        self.members[member_index].world.exit_code()
     }
 
     /// Seed, timeline, each member's log and status.
-    pub fn told(&self) -> String {
+    pub fn diagnostics(&self) -> String {
         let start = self.timeline.first().map_or_else(Instant::now, |(at, _)| *at);
         let mut text = format!("seed {}\n", self.seed);
         for (at, what) in &self.timeline {
             text += &format!("{:>8.3} {what}\n", at.duration_since(start).as_secs_f64());
         }
-        for (one, member) in self.members.iter().enumerate() {
-            text += &format!("--- {} at {}\n{}", name(one), member.address, member.world.log());
-            text += &self.say(one, &["status"]).1;
+        for (member_index, member) in self.members.iter().enumerate() {
+            text += &format!("--- {} at {}\n{}", name(member_index), member.address, member.world.log());
+            text += &self.run_command(member_index, &["status"]).1;
         }
         text
     }
 }
 
 /// The processes that one started and that run.
-fn children(pid: u32) -> Vec<u32> {
-    let all = std::fs::read_dir("/proc").expect("processes");
-    let of = |entry: std::io::Result<std::fs::DirEntry>| {
-        let one: u32 = entry.ok()?.file_name().to_str()?.parse().ok()?;
-        let stat = std::fs::read_to_string(format!("/proc/{one}/stat")).ok()?;
-        let parent: u32 = stat.rsplit_once(") ")?.1.split_whitespace().nth(1)?.parse().ok()?;
-        (parent == pid).then_some(one)
+/// The processes that a process started and that run.
+fn children(parent: u32) -> Vec<u32> {
+    let entries = std::fs::read_dir("/proc").expect("processes");
+    let child = |entry: std::io::Result<std::fs::DirEntry>| {
+        let pid: u32 = entry.ok()?.file_name().to_str()?.parse().ok()?;
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+        // The parent is the second field behind the name of the program.
+        let parent_of_pid: u32 = stat.rsplit_once(") ")?.1.split_whitespace().nth(1)?.parse().ok()?;
+        (parent_of_pid == parent).then_some(pid)
     };
-    all.filter_map(of).collect()
+    entries.filter_map(child).collect()
 }
 
 impl Drop for Fleet {
