--- a/crates/loomflow-fleet/src/consensus/mod.rs
+++ b/crates/loomflow-fleet/src/consensus/mod.rs
@@ -420,3 +420,6 @@
 fn decode<T: protobuf::Message>(bytes: &[u8]) -> Result<T, ConsensusError> {
     Ok(T::parse_from_bytes(bytes)?)
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/loomflow-fleet/src/consensus/tests.rs
@@ -0,0 +1,44 @@
+use super::storage::MemoryStorage;
+use super::*;
+use crate::maintenance::state::MaintenanceState;
+use raft::eraftpb::MessageType;
+
+const GROUP: u64 = 3;
+
+fn bootstrapped() -> Consensus<MaintenanceState> {
+    let mut consensus = Consensus::start("n0".into(), Box::new(MemoryStorage::default()), 7, 1, 0);
+    consensus.bootstrap(GROUP).unwrap();
+    consensus
+}
+
+fn heartbeat(to: u64) -> Vec<u8> {
+    let mut message = Message { to, from: 9, term: 1, ..Message::default() };
+    message.set_msg_type(MessageType::MsgHeartbeatResponse);
+    encode(&message).unwrap()
+}
+
+#[test]
+fn a_voter_takes_messages_of_its_own_group_and_replica_alone() {
+    let mut consensus = bootstrapped();
+    let replica = consensus.replica();
+    assert!(consensus.is_leader());
+    consensus.step(&"n1".into(), GROUP + 1, &heartbeat(replica.id));
+    assert_eq!((consensus.replica(), consensus.refused), (replica, 1), "another group");
+    consensus.step(&"n1".into(), GROUP, &heartbeat(replica.id + 1));
+    assert_eq!((consensus.replica(), consensus.refused), (replica, 2), "another replica");
+    consensus.step(&"n1".into(), GROUP, b"no message");
+    assert_eq!(consensus.refused, 3, "unreadable");
+    assert!(consensus.is_leader());
+}
+
+#[test]
+fn a_voter_without_a_group_joins_that_of_whoever_admits_it() {
+    let mut consensus: Consensus<MaintenanceState> =
+        Consensus::start("n0".into(), Box::new(MemoryStorage::default()), 7, 1, 0);
+    let id = consensus.replica().id;
+    consensus.step(&"n1".into(), GROUP, &heartbeat(id + 1));
+    assert_eq!((consensus.replica().group, consensus.refused), (0, 1), "for another replica");
+    consensus.step(&"n1".into(), GROUP, &heartbeat(id));
+    assert_eq!(consensus.replica().group, GROUP);
+    assert!(matches!(consensus.bootstrap(GROUP + 1), Err(ConsensusError::AlreadyInFleet)));
+}
