Coroutines go back to the connections' thread after a wait; links keep their descriptors

Crash by a freed wait. Seen: generated interleavings of the engine's link ended by SIGSEGV (1 of 6 runs of 1,500 cases, 2 of 4 of 2,000 under gdb; backtrace: tcp_stream_connect.rs subscribe on the timer thread). Cause: `may` resumes a coroutine whose sleep or timed wait is over on its timer thread, and a wait for a connection that begins there may be over on the other thread before `subscribe` has done with it. Engine reconnects, reports, lingers and paced reads all did that. Mend: `link::sleep` and `link::return_to_worker`. Test: link/tests.rs, two, red without the mend.

A reply in the second copy. Found by the same test: FEED in doubt, its second copy lost unwritten in a second break; what was said then was no longer taken for a second copy, and met the run's next call: a wrong result was served (owner/runs.rs say_again). Test: owner/interleavings.rs a_reply_whose_second_copy..., red without the mend.

Where the system's limit on open files is under the configured one, idle clients took all and the ledger could not be reached (tests/descriptors.rs at 44 of 64: red without the mend). The lower of both counts now. A failing accept and an engine that cannot be reached are reported once and not with each attempt.

Tests: descriptors, short_days (a row of crossings each), generated interleavings of connections and of the engine's link, with planted faults seen red: a RUN in doubt not asked again, a FEED unsent taken for in doubt, a question ignored, a second BYE, a late message not answered. Not seen by them: a FEED with an effect said again, a RUN taken to have arrived not asked again, a reused tag not counted as answered.

--- a/crates/loomflow-server/src/call.rs
+++ b/crates/loomflow-server/src/call.rs
@@ -230,6 +230,12 @@
         ended
     }
 
+    /// The connection that carries a request's call.
+    #[cfg(test)]
+    pub fn link_of(&self, id: RequestId) -> Option<LinkNumber> {
+        self.calls.get(&id).map(|call| call.link)
+    }
+
     /// When the next call's time is up.
     pub fn next_limit(&self) -> Option<f64> {
         self.calls.values().map(|call| call.until + GRACE).reduce(f64::min)
--- a/crates/loomflow-server/src/clock.rs
+++ b/crates/loomflow-server/src/clock.rs
@@ -32,4 +32,10 @@
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
         Now { ms: self.start.elapsed().as_secs_f64() * 1000.0, unix: unix.as_secs_f64() * 1000.0 }
     }
+
+    /// Lets time pass at once.
+    #[cfg(test)]
+    pub fn advance(&mut self, by: Duration) {
+        self.start = self.start.checked_sub(by).expect("the machine has been up for longer");
+    }
 }
--- a/crates/loomflow-server/src/control.rs
+++ b/crates/loomflow-server/src/control.rs
@@ -47,7 +47,9 @@
             }
             let pause = if failed { AGAIN } else { PERIOD };
             let wait = pause.saturating_sub(next.elapsed()).max(AGAIN);
-            match moved.recv_timeout(link::whole_ms(wait)) {
+            let address = moved.recv_timeout(link::whole_ms(wait));
+            link::return_to_worker();
+            match address {
                 Ok(address) => (to, connection, failed) = (address, None, false),
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
--- a/crates/loomflow-server/src/front/resp/accept.rs
+++ b/crates/loomflow-server/src/front/resp/accept.rs
@@ -23,6 +23,8 @@
 const EXHAUSTED: Duration = Duration::from_millis(5);
 /// The server's last life may hold the address for as long as it has for its end, and this.
 const FREED_WITHIN: Duration = Duration::from_secs(1);
+/// A failure to accept that goes on is reported again after this.
+const REPORT_AGAIN: Duration = Duration::from_secs(60);
 /// Connections that the system holds until they are accepted.
 const BACKLOG: i32 = 1024;
 
@@ -107,10 +109,11 @@
     mut wait: impl FnMut(),
     mut take: impl FnMut(S),
 ) {
+    let mut failures = FailureReports::default();
     loop {
         // Also once it is over: who was accepted by the system is told so, as soon as others have left.
         if !has_room() {
-            may::coroutine::sleep(EXHAUSTED);
+            link::sleep(EXHAUSTED);
             continue;
         }
         let stopped = stop.load(Ordering::Acquire);
@@ -120,13 +123,32 @@
             Err(e) if e.kind() == ErrorKind::WouldBlock => wait(),
             Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
             Err(e) => {
-                log!(part = "accept", why = %e, "a connection could not be taken");
-                may::coroutine::sleep(EXHAUSTED);
+                if failures.is_due(Instant::now()) {
+                    log!(part = "accept", why = %e, "a connection could not be taken");
+                }
+                link::sleep(EXHAUSTED);
             }
         }
     }
 }
 
+/// Keeps a failure that comes back with every attempt from filling the log.
+#[derive(Default)]
+struct FailureReports {
+    last: Option<Instant>,
+}
+
+impl FailureReports {
+    /// Whether a failure is to be reported now: the first, and then one after each `REPORT_AGAIN`.
+    fn is_due(&mut self, now: Instant) -> bool {
+        let is_due = self.last.is_none_or(|last| now.saturating_duration_since(last) >= REPORT_AGAIN);
+        if is_due {
+            self.last = Some(now);
+        }
+        is_due
+    }
+}
+
 fn accept(listener: &TcpListener, mailbox: &Arc<Mailbox>, stop: &AtomicBool, most: usize) {
     let mut number: ConnectionId = 0;
     // Each connection holds a part of this.
--- a/crates/loomflow-server/src/front/resp/accept/tests.rs
+++ b/crates/loomflow-server/src/front/resp/accept/tests.rs
@@ -53,3 +53,12 @@
     });
     assert_eq!(all, [3]);
 }
+
+#[test]
+fn a_failure_to_accept_that_goes_on_is_reported_once_a_minute() {
+    let mut failures = FailureReports::default();
+    let start = Instant::now();
+    let reported = (0..12_000).filter(|n| failures.is_due(start + EXHAUSTED * *n)).count();
+    assert_eq!(reported, 1, "a minute of failures at every attempt");
+    assert!(failures.is_due(start + REPORT_AGAIN));
+}
--- a/crates/loomflow-server/src/front/resp/connections.rs
+++ b/crates/loomflow-server/src/front/resp/connections.rs
@@ -10,6 +10,8 @@
 use crate::link::{self, Outbox};
 use crate::mailbox::ConnectionId;
 
+#[cfg(test)]
+mod interleavings;
 #[cfg(test)]
 mod tests;
 
@@ -93,6 +95,8 @@
     leaving: Option<Leaving>,
     /// With more connections than this the longest idle are closed.
     crowded: usize,
+    /// Connections that may be held at once: with so many, others wait to be accepted.
+    most: usize,
     /// Bytes of answers that may wait to be read by gateways, all together.
     most_unwritten: usize,
 }
@@ -101,7 +105,12 @@
     /// `idle`: idle connections are closed after so long, ms, until something else is said.
     pub fn new(idle: f64, crowded: usize, most_unwritten: usize) -> Gateways {
         let close_idle_after = (idle > 0.0).then_some(idle);
-        Gateways { close_idle_after, crowded, most_unwritten, ..Gateways::default() }
+        Gateways { close_idle_after, crowded, most: usize::MAX, most_unwritten, ..Gateways::default() }
+    }
+
+    /// The same where no more than `most` connections are held at once.
+    pub fn with_most(self, most: usize) -> Gateways {
+        Gateways { most, ..self }
     }
 
     pub fn opened(&mut self, id: ConnectionId, outbox: Arc<Outbox>, now: f64) {
@@ -239,9 +248,13 @@
         stuck
     }
 
-    /// Where room is short: those that never said anything go at once, then the longest idle are asked to go.
+    /// Where room is short: those that never said anything go at once, then the longest idle are asked to go. Where there
+    /// is none, others stand in the queue of the system, and up to half of all go: gateways with work may stand behind many
+    /// that have none.
     fn make_room(&mut self, now: f64) {
-        let over = self.connections.len().saturating_sub(self.crowded);
+        let is_full = self.connections.len() + self.closing.len() >= self.most;
+        let least = if is_full { self.connections.len() / 2 } else { 0 };
+        let over = self.connections.len().saturating_sub(self.crowded).max(least);
         if over == 0 {
             return;
         }
--- a/crates/loomflow-server/src/front/resp/connections/tests.rs
+++ b/crates/loomflow-server/src/front/resp/connections/tests.rs
@@ -232,3 +232,23 @@
     gateways.sweep(at);
     assert!(!outbox.all_written(), "not broken off for an end that was taken back");
 }
+
+#[test]
+fn where_there_is_no_room_left_half_of_all_go_the_longest_idle_first() {
+    let sixteen_held = |most: usize| {
+        let mut gateways = Gateways::new(0.0, 12, usize::MAX).with_most(most);
+        let all: Vec<Arc<Outbox>> = (1..=16)
+            .map(|id| {
+                let outbox = Arc::new(Outbox::new(Some(MOST_OPEN)));
+                gateways.opened(id, outbox.clone(), id as f64);
+                gateways.spoken(id);
+                outbox
+            })
+            .collect();
+        gateways.sweep(50.0);
+        all.iter().map(|outbox| outbox.added() > 0).collect::<Vec<bool>>()
+    };
+    let first = |count: usize| (0..16).map(|at| at < count).collect::<Vec<bool>>();
+    assert_eq!(sixteen_held(17), first(4), "room is short");
+    assert_eq!(sixteen_held(16), first(8), "there is none");
+}
--- a/crates/loomflow-server/src/front/resp/mod.rs
+++ b/crates/loomflow-server/src/front/resp/mod.rs
@@ -37,7 +37,8 @@
             site: config.site.clone(),
             accepting: Accepting::start(listener, budget.gateways, mailbox.clone()),
             listening: true,
-            gateways: Gateways::new(config.site.settings.idle, budget.crowded, budget.unwritten),
+            gateways: Gateways::new(config.site.settings.idle, budget.crowded, budget.unwritten)
+                .with_most(budget.gateways),
             sweep_at: 0.0,
         }
     }
--- a/crates/loomflow-server/src/link.rs
+++ b/crates/loomflow-server/src/link.rs
@@ -228,6 +228,26 @@
         self.state().added
     }
 
+    /// What a driver writes when the system takes at most so many bytes.
+    #[cfg(test)]
+    pub fn write_out(&self, most: usize) -> Vec<u8> {
+        let mut state = self.state();
+        state.woken = false;
+        let end = state.bytes.len().min(state.at.saturating_add(most));
+        let taken = state.bytes[state.at..end].to_vec();
+        (state.at, state.written) = (end, state.written + taken.len() as u64);
+        if state.at == state.bytes.len() {
+            (state.bytes, state.at) = (Vec::new(), 0);
+        }
+        taken
+    }
+
+    /// Whether its driver would read from it, and why it would end it.
+    #[cfg(test)]
+    pub fn driven(&self) -> (bool, Option<Ending>) {
+        (self.reads_on(), self.over())
+    }
+
     /// Whether it is to end; no longer so once its driver has found that it was not idle.
     pub fn is_ending(&self) -> bool {
         self.state().ending.is_some()
@@ -294,10 +314,28 @@
     }
 }
 
+/// Lets a coroutine sleep, and brings it back to the thread that carries all connections.
+///
+/// `may` resumes a coroutine whose wait has timed out on its timer thread, and lets it run there until it waits again. A wait
+/// for a connection that begins on that thread can be over, and its coroutine with it, on the connections' thread before
+/// `may` has finished registering it (`subscribe` in its `tcp_stream_connect.rs`, `socket_read.rs` and `wait_io.rs` uses what
+/// it refers to after it has given the coroutine away): memory is used after it was freed. So every sleep goes by here, and
+/// whatever else waits with a time-out goes back by `return_to_worker` before it touches a connection.
+pub fn sleep(span: Duration) {
+    may::coroutine::sleep(span);
+    return_to_worker();
+}
+
+/// Brings a coroutine that may have been resumed on `may`'s timer thread back to the thread that carries all connections:
+/// giving way there puts it into that thread's queue.
+pub fn return_to_worker() {
+    may::coroutine::yield_now();
+}
+
 /// Opens a connection, after a pause where one is due, unless it has been ended by then.
 pub fn open(to: SocketAddr, pause: Duration, outbox: &Outbox) -> Result<TcpStream, Ending> {
     if !pause.is_zero() {
-        may::coroutine::sleep(pause);
+        sleep(pause);
     }
     if let Some(ending) = outbox.over() {
         return Err(ending);
@@ -357,7 +395,7 @@
             Ok(Turn::Full) => {
                 match outbox.pace() {
                     Duration::ZERO => may::coroutine::yield_now(),
-                    pace => may::coroutine::sleep(pace),
+                    pace => sleep(pace),
                 }
                 continue;
             }
@@ -455,7 +493,7 @@
             return;
         }
         match stream.read(&mut unread) {
-            Ok(1..) => may::coroutine::sleep(LINGER_PACE),
+            Ok(1..) => sleep(LINGER_PACE),
             Err(e) if is_a_wait(&e) => {}
             _ => return,
         }
--- a/crates/loomflow-server/src/link/tests.rs
+++ b/crates/loomflow-server/src/link/tests.rs
@@ -197,3 +197,32 @@
     driven.outbox.abort();
     assert_eq!(driven.over.recv_timeout(PATIENT), Ok(Ending::Idle));
 }
+
+/// Where a coroutine runs at first, and after what it does: by the ids of the threads.
+fn threads_before_and_after(act: impl FnOnce() + Send + 'static) -> [std::thread::ThreadId; 2] {
+    one_thread();
+    let (sends, sent) = channel();
+    may::go!(move || {
+        let before = std::thread::current().id();
+        act();
+        sends.send([before, std::thread::current().id()]).expect("the test listens");
+    });
+    sent.recv_timeout(PATIENT).expect("it ends")
+}
+
+/// What begins to wait for a connection on another thread may be over before the library has done with it.
+#[test]
+fn a_coroutine_that_has_slept_is_on_the_thread_of_the_connections_again() {
+    let [before, after] = threads_before_and_after(|| sleep(Duration::from_millis(3)));
+    assert_eq!(before, after);
+}
+
+#[test]
+fn a_coroutine_whose_wait_for_a_message_is_over_goes_back_to_the_thread_of_the_connections() {
+    let [before, after] = threads_before_and_after(|| {
+        let (_sends, waits) = may::sync::mpsc::channel::<()>();
+        assert!(waits.recv_timeout(Duration::from_millis(3)).is_err());
+        return_to_worker();
+    });
+    assert_eq!(before, after);
+}
--- a/crates/loomflow-server/src/owner/mod.rs
+++ b/crates/loomflow-server/src/owner/mod.rs
@@ -5,6 +5,9 @@
 mod requests;
 mod runs;
 
+#[cfg(test)]
+mod interleavings;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -17,7 +20,7 @@
 use loomflow_settings::guard::{self, Fault, Pair, When};
 use loomflow_settings::{Config, Options, Site};
 
-use crate::budget::Budget;
+use crate::budget::{self, Budget};
 use crate::call::Ledger;
 use crate::clock::{Clock, Now};
 use crate::fleet::{self, Fleet, Meter};
@@ -97,42 +100,8 @@
     };
     let mailbox = Arc::new(Mailbox::default());
     signals.watch(file, mailbox.clone())?;
-    let budget = Budget::of(&config);
-    let fronts = Fronts::start(listener, &config, options, &budget, &mailbox)?;
-    let ready = Arc::new(AtomicBool::new(true));
-    let control = control::start(config.control, config.name.clone(), ready.clone());
-    let clock = Clock::start();
-    let fleet =
-        options.fleet.as_ref().map(|fleet| Fleet::start(&config, fleet, mailbox.clone())).transpose()?;
-    let mut owner = Owner {
-        site: config.site.clone(),
-        clock,
-        now: clock.now(),
-        ready,
-        control,
-        fleet: fleet.map(|fleet| (fleet, Meter::new(clock.now().ms))),
-        choice: None,
-        warm_at: 0.0,
-        touched: false,
-        events: VecDeque::new(),
-        table: Table::default(),
-        repeats: BTreeMap::new(),
-        keys: Keys::new(budget.results, budget.entries),
-        fronts,
-        asks: Vec::new(),
-        engine: Engine::start(config.engine, mailbox.clone()),
-        ledger: Ledger::new(config.ledger, budget.ledger, mailbox.clone()),
-        good: true,
-        stored: false,
-        tests: BTreeMap::new(),
-        wakes: BTreeSet::new(),
-        gauges_at: f64::INFINITY,
-        most_requests: budget.requests,
-        killed_at: None,
-        closes_at: f64::INFINITY,
-        closed: false,
-        config,
-    };
+    let mut owner = Owner::start(config, options, listener, &mailbox)?;
+    let clock = owner.clock;
     while !owner.over() {
         let wake = owner.next_wake();
         let wait = (wake - clock.now().ms).max(0.0);
@@ -159,7 +128,7 @@
     let until = clock.now().ms + LONGEST_CATCH_UP;
     let readers = mailbox.clone();
     may::go!(move || {
-        may::coroutine::sleep(Duration::from_micros((CATCH_UP * 1000.0) as u64));
+        link::sleep(Duration::from_micros((CATCH_UP * 1000.0) as u64));
         readers.put(Input::CaughtUp);
     });
     loop {
@@ -178,6 +147,51 @@
 }
 
 impl Owner {
+    /// Starts everything that the owner speaks with. Errors: what of the options cannot be used.
+    fn start(
+        config: Config,
+        options: &Options,
+        listener: Listener,
+        mailbox: &Arc<Mailbox>,
+    ) -> Result<Owner, String> {
+        let budget = Budget::new(&config, budget::open_files_limit());
+        let fronts = Fronts::start(listener, &config, options, &budget, mailbox)?;
+        let ready = Arc::new(AtomicBool::new(true));
+        let control = control::start(config.control, config.name.clone(), ready.clone());
+        let clock = Clock::start();
+        let fleet =
+            options.fleet.as_ref().map(|fleet| Fleet::start(&config, fleet, mailbox.clone())).transpose()?;
+        Ok(Owner {
+            site: config.site.clone(),
+            clock,
+            now: clock.now(),
+            ready,
+            control,
+            fleet: fleet.map(|fleet| (fleet, Meter::new(clock.now().ms))),
+            choice: None,
+            warm_at: 0.0,
+            touched: false,
+            events: VecDeque::new(),
+            table: Table::default(),
+            repeats: BTreeMap::new(),
+            keys: Keys::new(budget.results, budget.entries),
+            fronts,
+            asks: Vec::new(),
+            engine: Engine::start(config.engine, mailbox.clone()),
+            ledger: Ledger::new(config.ledger, budget.ledger, mailbox.clone()),
+            good: true,
+            stored: false,
+            tests: BTreeMap::new(),
+            wakes: BTreeSet::new(),
+            gauges_at: f64::INFINITY,
+            most_requests: budget.requests,
+            killed_at: None,
+            closes_at: f64::INFINITY,
+            closed: false,
+            config,
+        })
+    }
+
     fn over(&self) -> bool {
         self.closed && self.table.unanswered() == 0 && self.fronts.settled(self.now.ms)
     }
--- a/crates/loomflow-server/src/owner/runs.rs
+++ b/crates/loomflow-server/src/owner/runs.rs
@@ -129,11 +129,13 @@
                     over.push(id);
                     continue;
                 }
-                (Fate::Unsent, _) | (Fate::Unknown, Sent::Run) => {}
-                (Fate::Unknown, _) if whole && entry.effect == Effect::Safe => {
+                (Fate::Unsent | Fate::Unknown, Sent::Run) => {}
+                // Its first copy may have arrived, though a second one that was to follow it has not: this is another second.
+                (Fate::Unsent, _) if entry.said_twice.is_none() => {}
+                (Fate::Unsent | Fate::Unknown, _) if whole && entry.effect == Effect::Safe => {
                     entry.said_twice = Some(engine.fence());
                 }
-                (Fate::Unknown, _) => continue,
+                (Fate::Unsent | Fate::Unknown, _) => continue,
             }
             let id = entry.try_id;
             pending.said_at = now;
--- a/crates/loomflow-server/src/run.rs
+++ b/crates/loomflow-server/src/run.rs
@@ -85,6 +85,8 @@
     /// Before the next link is opened: grows while links do not last.
     pause: Duration,
     attached_at: f64,
+    /// The log has been told of the link's end, and none has been attached since.
+    is_end_reported: bool,
     /// The last notice read.
     last: u64,
     tags: u64,
@@ -104,6 +106,7 @@
             state: State::Opening,
             pause: Duration::ZERO,
             attached_at: f64::INFINITY,
+            is_end_reported: false,
             last: 0,
             tags: 0,
             answered: 0,
@@ -142,7 +145,8 @@
         if number != self.number {
             return None;
         }
-        if ending != Ending::Refused {
+        // One that cannot be opened fails again with every attempt.
+        if ending != Ending::Refused && !std::mem::replace(&mut self.is_end_reported, true) {
             crate::log!(part = "engine", ?ending, "the link ended");
         }
         let written = self.outbox.written();
@@ -185,6 +189,7 @@
     /// The engine is up; what it kept for us follows.
     pub fn attached(&mut self, now: f64) {
         self.attached_at = now;
+        self.is_end_reported = false;
         let fence = self.fence();
         self.state = State::Replaying { fence, until: now + REPLAY };
     }
@@ -207,6 +212,12 @@
         true
     }
 
+    /// The link that is open or being opened.
+    #[cfg(test)]
+    pub fn link(&self) -> (LinkNumber, Arc<Outbox>) {
+        (self.number, self.outbox.clone())
+    }
+
     pub fn is_up(&self) -> bool {
         matches!(self.state, State::Ready | State::Replaying { .. })
     }
--- /dev/null
+++ b/crates/loomflow-server/tests/descriptors.rs
@@ -0,0 +1,199 @@
+//! Idle clients that take every descriptor while the control plane is down: gateways with work still get in, links are
+//! made anew, reports go out as soon as the control plane is back.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use loomflow_standins::*;
+
+const LONG: f64 = 20_000.0;
+/// Descriptors of the small server, as its configuration and the system limit them.
+const SOCKETS: usize = 64;
+/// Clients that rest: many times what the server holds.
+const IDLE: usize = 150;
+
+/// Clients that rest until the server ends their connection, and connect again then: half of them ask for health first,
+/// the others never say anything.
+struct IdleClients {
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl IdleClients {
+    fn start(world: &World, count: usize) -> IdleClients {
+        let stop = Arc::new(AtomicBool::new(false));
+        let listen = world.listen;
+        let client = |number: usize| {
+            let stop = stop.clone();
+            std::thread::spawn(move || {
+                while !stop.load(Ordering::Acquire) {
+                    let Ok(stream) = std::net::TcpStream::connect(listen) else {
+                        std::thread::sleep(Duration::from_millis(5));
+                        continue;
+                    };
+                    rest_on(stream, number.is_multiple_of(2), &stop);
+                }
+            })
+        };
+        let threads = (0..count).map(client).collect();
+        IdleClients { stop, threads }
+    }
+
+    fn end(self) {
+        self.stop.store(true, Ordering::Release);
+        self.threads.into_iter().for_each(|thread| thread.join().expect("a client ends"));
+    }
+}
+
+/// Keeps a connection until its peer ends it, or until told to stop.
+fn rest_on(stream: std::net::TcpStream, speaks: bool, stop: &AtomicBool) {
+    use std::io::{Read, Write};
+    if speaks && (&stream).write_all(&health(1, false)).is_err() {
+        return;
+    }
+    stream.set_read_timeout(Some(Duration::from_millis(50))).expect("a time-out");
+    let mut bytes = [0; 256];
+    while !stop.load(Ordering::Acquire) {
+        match (&stream).read(&mut bytes) {
+            Ok(0) => return,
+            Ok(_) => {}
+            Err(e) if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {}
+            Err(_) => return,
+        }
+    }
+}
+
+/// A small server whose control plane is down: nobody listens at the address, which is given out.
+fn without_discovery(limit: usize) -> (World, std::net::SocketAddr) {
+    let mut world = World::new(site(LONG));
+    let down = free_address();
+    world.config["control"] = down.to_string().into();
+    world.config["limits"]["sockets"] = SOCKETS.into();
+    world.start(&format!("ulimit -n {limit}; exec \"$0\" serve"));
+    (world, down)
+}
+
+fn control_at(address: std::net::SocketAddr) -> Control {
+    Control::at(TcpListener::bind(address).expect("its address"))
+}
+
+/// Waits until idle clients hold all that the server gives to gateways.
+fn wait_until_full(world: &World, gateways: usize) {
+    let until = std::time::Instant::now() + PATIENCE;
+    while world.descriptors() < gateways {
+        assert!(std::time::Instant::now() < until, "{} descriptors", world.descriptors());
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// A gateway that comes while idle clients hold the table, and whose request is run.
+fn is_served(world: &World, engine: &Link, number: u64) {
+    let mut gateway = world.gateway();
+    let id = gateway.call(1, "read", b"x");
+    assert_eq!(engine.expect("RUN").word(1), id);
+    engine.done(number, &id, b"y");
+    assert_eq!(gateway.answer().body, b"y");
+}
+
+/// The log says little, however long it lasts.
+fn log_is_short(world: &World) {
+    let log = world.log();
+    assert!(log.lines().count() <= 12, "{log}");
+}
+
+#[test]
+fn gateways_with_work_get_in_past_idle_clients_while_discovery_is_down() {
+    let (mut world, down) = without_discovery(SOCKETS);
+    let engine = world.engine.link();
+    engine.hello("ATTACH 0");
+    world.wait_for_service();
+    let idle = IdleClients::start(&world, IDLE);
+    wait_until_full(&world, SOCKETS / 2);
+    for number in 1..=6 {
+        is_served(&world, &engine, number);
+        assert!(world.descriptors() <= SOCKETS, "{}", world.descriptors());
+    }
+    assert_eq!(world.spinning_threads(), Vec::<String>::new());
+    // Reports go out as soon as somebody takes them, though the table is full.
+    let control = control_at(down);
+    assert!(control.report().ends_with("{\"condition\":\"Ready\"}"));
+    log_is_short(&world);
+    idle.end();
+    assert!(world.is_running());
+}
+
+/// The limit of the system is the lower one in the second: what it refuses must not be the links'.
+#[test]
+fn the_links_to_engine_and_ledger_are_made_anew_with_every_descriptor_in_use() {
+    for limit in [SOCKETS, 44] {
+        let (mut world, _down) = without_discovery(limit);
+        let engine = world.engine.link();
+        engine.hello("ATTACH 0");
+        world.wait_for_service();
+        let ledger = world.ledger.open();
+        let idle = IdleClients::start(&world, IDLE);
+        wait_until_full(&world, limit / 2);
+        let mut gateway = world.gateway();
+        // Calls on connections of their own.
+        let ids: Vec<String> = (1..=4).map(|tag| gateway.call(tag, "read", b"x")).collect();
+        let runs: Vec<String> = ids.iter().map(|_| engine.expect("RUN").word(1).to_owned()).collect();
+        for (id, number) in runs.iter().zip(1..) {
+            engine.need(number, id, b"call");
+        }
+        let calls: Vec<Link> = runs.iter().map(|_| ledger.link()).collect();
+        // The engine's link and the ledger's break, and come back.
+        engine.cut();
+        let engine = world.engine.link();
+        engine.hello("ATTACH 4");
+        calls.into_iter().for_each(Link::cut);
+        let mut open = Vec::new();
+        for _ in &runs {
+            let call = ledger.link();
+            let id = call.expect("post").word(1).to_owned();
+            call.say_body(&format!("{id} posted"), b"ok");
+            open.push(call);
+        }
+        for number in 5..=8 {
+            let id = engine.expect("FEED").word(1).to_owned();
+            engine.done(number, &id, b"y");
+        }
+        for _ in &ids {
+            assert_eq!(gateway.answer().body, b"y");
+        }
+        assert!(world.descriptors() <= limit, "{} of {limit}", world.descriptors());
+        assert_eq!(world.spinning_threads(), Vec::<String>::new());
+        log_is_short(&world);
+        idle.end();
+        assert!(world.is_running());
+    }
+}
+
+/// The clients are there before the server is: they fill its table in the moment in which it starts to listen.
+#[test]
+fn a_server_that_restarts_among_idle_clients_without_discovery_serves_and_reports() {
+    let (mut world, down) = without_discovery(SOCKETS);
+    world.engine.link().hello("ATTACH 0");
+    world.wait_for_service();
+    let idle = IdleClients::start(&world, IDLE);
+    wait_until_full(&world, SOCKETS / 2);
+    world.kill();
+    world.start(&format!("ulimit -n {SOCKETS}; exec \"$0\" serve"));
+    let engine = world.engine.link();
+    // A request that comes before the engine is up is given back; the caller comes again.
+    wait_until_full(&world, SOCKETS / 2);
+    engine.hello("ATTACH 0");
+    world.wait_for_service();
+    for number in 1..=4 {
+        is_served(&world, &engine, number);
+        assert!(world.descriptors() <= SOCKETS, "{}", world.descriptors());
+    }
+    let control = control_at(down);
+    assert!(control.report().ends_with("{\"condition\":\"Ready\"}"));
+    assert_eq!(world.spinning_threads(), Vec::<String>::new());
+    log_is_short(&world);
+    idle.end();
+    assert!(world.is_running());
+}
--- a/crates/loomflow-standins/src/ledger.rs
+++ b/crates/loomflow-standins/src/ledger.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::mpsc::Receiver;
 use std::thread;
+use std::time::Duration;
 
 use crate::base::{PATIENCE, QUIET, free_address};
 use crate::lines::{Link, accepting};
@@ -25,12 +26,18 @@
 
     /// Posts every call at once, for as long as the process lives.
     pub fn post_all(&self) {
+        self.post_all_after(Duration::ZERO);
+    }
+
+    /// Posts every call after so long, one after the other on each connection.
+    pub fn post_all_after(&self, delay: Duration) {
         let ledger = self.open();
         thread::spawn(move || {
             while let Ok(link) = ledger.links.recv() {
                 thread::spawn(move || {
                     while let Some(line) = link.wait() {
                         if line.word(0) == "post" {
+                            thread::sleep(delay);
                             link.say_body(&format!("{} posted", line.word(1)), b"posted");
                         }
                     }
--- a/crates/loomflow-standins/src/worker.rs
+++ b/crates/loomflow-standins/src/worker.rs
@@ -33,6 +33,10 @@
     work: Duration,
     fail: usize,
     held: bool,
+    /// How long after its `ATTACH` a link hears `HELLO`: an engine that comes up slowly.
+    hello_delay: Duration,
+    /// Links that have heard it.
+    attached: usize,
     /// Every so many runs make a call below; none where 0.
     calls_every: usize,
     /// Runs that wait for the reply to their call.
@@ -59,7 +63,11 @@
 impl Worker {
     /// Each run takes one core for `work`.
     pub fn start(cores: usize, work: Duration) -> Worker {
-        let listener = free_listener();
+        Worker::at(free_listener(), cores, work)
+    }
+
+    /// The same at an address of one's choice.
+    pub fn at(listener: TcpListener, cores: usize, work: Duration) -> Worker {
         let address = listener.local_addr().expect("an address");
         let inner = Inner { work, ..Inner::default() };
         let shared = Arc::new(Shared { inner: Mutex::new(inner), changed: Condvar::new(), cores });
@@ -80,6 +88,16 @@
         self.inner().work = work;
     }
 
+    /// Links hear `HELLO` so long after they attached, from now on.
+    pub fn says_hello_after(&self, delay: Duration) {
+        self.inner().hello_delay = delay;
+    }
+
+    /// How many links have attached so far.
+    pub fn attached(&self) -> usize {
+        self.inner().attached
+    }
+
     /// Every so many runs make a call below, halfway.
     pub fn calls(&self, every: usize) {
         self.inner().calls_every = every;
@@ -201,6 +219,8 @@
         let words: Vec<&str> = line.split_whitespace().collect();
         match words[..] {
             ["ATTACH", last] => {
+                let delay = lock().hello_delay;
+                thread::sleep(delay);
                 let mut inner = lock();
                 writer.write_all(b"HELLO running 60000\r\n")?;
                 let last: usize = last.parse().unwrap_or(0);
@@ -208,6 +228,7 @@
                     writer.write_all(notice)?;
                 }
                 inner.link = Some(writer.try_clone()?);
+                inner.attached += 1;
             }
             ["RUN", id, class, size] => {
                 let mut body = vec![0; size.parse::<usize>().unwrap_or(0) + 2];
--- a/crates/loomflow-standins/src/world.rs
+++ b/crates/loomflow-standins/src/world.rs
@@ -1,5 +1,6 @@
 //! The server as a process among stand-ins of everything it speaks with.
 
+use std::collections::HashSet;
 use std::io::Read;
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
@@ -37,6 +38,8 @@
     /// More of the server's environment.
     pub variables: Vec<(String, std::ffi::OsString)>,
     child: Option<Child>,
+    /// Former processes that have been told to leave.
+    left: Vec<Child>,
     deaf: bool,
     log: Arc<Mutex<String>>,
 }
@@ -78,6 +81,7 @@
             program: program(),
             variables: Vec::new(),
             child: None,
+            left: Vec::new(),
             deaf: false,
             log: Arc::default(),
         }
@@ -111,6 +115,13 @@
         }
     }
 
+    /// Tells the server to leave and does not wait for its end: the next start is another process beside it. Its exit is
+    /// seen to once this world ends.
+    pub fn leave_behind(&mut self) {
+        self.terminate();
+        self.left.extend(self.child.take());
+    }
+
     /// Nobody will read the log.
     pub fn deaf(&mut self) {
         self.deaf = true;
@@ -244,6 +255,38 @@
         self.child.as_mut().is_some_and(|child| child.try_wait().expect("its state").is_none())
     }
 
+    /// Id, name and state letter of each thread of the server.
+    pub fn threads(&self) -> Vec<(String, char)> {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.pid())).expect("its threads");
+        let state = |one: std::io::Result<std::fs::DirEntry>| {
+            let stat = std::fs::read_to_string(one.ok()?.path().join("stat")).ok()?;
+            // The name stands in brackets and may hold spaces; the state follows the last bracket.
+            let (id, rest) = stat.split_once(" (")?;
+            let (name, after) = rest.rsplit_once(") ")?;
+            Some((format!("{id} {name}"), after.chars().next()?))
+        };
+        tasks.filter_map(state).collect()
+    }
+
+    /// Threads that are never seen waiting over many looks: one that spins is running at every look.
+    pub fn spinning_threads(&self) -> Vec<String> {
+        let (mut waited, mut seen) = (HashSet::new(), HashSet::new());
+        for _ in 0..200 {
+            for (thread, state) in self.threads() {
+                if matches!(state, 'S' | 'D' | 'I' | 't' | 'T') {
+                    waited.insert(thread.clone());
+                }
+                seen.insert(thread);
+            }
+            if !seen.is_empty() && seen.is_subset(&waited) {
+                break;
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        assert!(!seen.is_empty(), "the server has threads");
+        seen.difference(&waited).cloned().collect()
+    }
+
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.pid())).expect("its descriptors").count()
     }
@@ -252,6 +295,10 @@
 impl Drop for World {
     fn drop(&mut self) {
         self.kill();
+        for mut child in self.left.drain(..) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
         let _ = std::fs::remove_file(&self.file);
         for file in self.options.iter().flat_map(|file| [file.clone(), file.with_extension("credentials")]) {
             let _ = std::fs::remove_file(file);
