--- a/crates/loomflow-measure/src/order/simulated.rs
+++ b/crates/loomflow-measure/src/order/simulated.rs
@@ -2,9 +2,9 @@
 
 use std::time::Instant;
 
-use loomflow_fleet::order::rules::{Amount, Rules};
-use loomflow_fleet::order::ticket::{Stage, Urgency};
-use loomflow_simulation::{Fault, Script, Shape, World, abreast, cores};
+use loomflow_fleet::maintenance::rules::{Limit, Rules};
+use loomflow_fleet::maintenance::ticket::{Stage, Urgency};
+use loomflow_simulation::{Fault, Scenario, Simulation, SimulationConfig, core_count, run_parallel};
 
 use crate::report::Report;
 
@@ -26,17 +26,26 @@
     let mut violations = 0;
     for (machines, count) in counts {
         let began = Instant::now();
-        let failed: Vec<String> = abreast(cores(), 0..count, |seed| {
+        let failed: Vec<String> = run_parallel(core_count(), 0..count, |seed| {
             let voters = if machines >= 5 { 5 } else { 3 };
-            let shape = Shape { machines, voters, zones: 3, drift: 0.001, ..Shape::default() };
+            let config = SimulationConfig {
+                machines,
+                voters,
+                zones: 3,
+                max_clock_drift: 0.001,
+                ..SimulationConfig::default()
+            };
             // A few of the many ask: what is looked for is what breaks, not how long all take.
-            let mut script = Script::drawn(seed, machines, voters, 12_000, 40_000);
-            if let Some((_, Fault::Ask(who, _))) = script.steps.first_mut() {
+            let mut scenario = Scenario::random(seed, machines, voters, 12_000, 40_000);
+            if let Some((_, Fault::RequestWork(who, _))) = scenario.steps.first_mut() {
                 who.truncate(8);
             }
-            let mut world = World::new(shape, seed);
-            world.witness.thorough = machines <= 30;
-            world.play(&script, 60_000).err().map(|what| format!("{machines} members, seed {seed}: {what}"))
+            let mut simulation = Simulation::new(config, seed);
+            simulation.invariants.compares_states = machines <= 30;
+            simulation
+                .run(&scenario, 60_000)
+                .err()
+                .map(|what| format!("{machines} members, seed {seed}: {what}"))
         })
         .into_iter()
         .flatten()
@@ -60,18 +69,21 @@
     let mut rows = Vec::new();
     let mut figures = Vec::new();
     for machines in [30, 300, 1_000] {
-        let mut world = World::new(Shape { machines, voters: 5, zones: 3, ..Shape::default() }, 3);
-        world.witness.thorough = false;
+        let mut simulation = Simulation::new(
+            SimulationConfig { machines, voters: 5, zones: 3, ..SimulationConfig::default() },
+            3,
+        );
+        simulation.invariants.compares_states = false;
         // Forming is over by then.
         let formed = 25_000;
-        let _ = world.go(formed);
-        let (messages, bytes) = world.traffic();
+        let _ = simulation.run_until(formed);
+        let before = simulation.traffic();
         let began = Instant::now();
-        let _ = world.go(formed + span);
+        let _ = simulation.run_until(formed + span);
         let core = began.elapsed().as_secs_f64() / (span as f64 / 1000.0) / machines as f64;
-        let (more, more_bytes) = world.traffic();
+        let after = simulation.traffic();
         let each = |count: u64| count as f64 / machines as f64 / (span as f64 / 1000.0);
-        let one = (each(more - messages), each(more_bytes - bytes), core);
+        let one = (each(after.messages - before.messages), each(after.bytes - before.bytes), core);
         rows.push(vec![
             machines.to_string(),
             format!("{:.1}", one.0),
@@ -92,37 +104,43 @@
 
 /// How soon a death is known to all, and who is taken for dead that is not.
 fn deaths(report: &mut Report, quick: bool) {
-    let known: Vec<f64> = abreast(cores(), 0..if quick { 30 } else { 200 }, |seed| {
-        let mut world = World::new(Shape { machines: 30, voters: 5, ..Shape::default() }, seed);
-        world.witness.thorough = false;
-        let _ = world.go(20_000);
-        world.do_fault(&Fault::Loss(0.02, 0.0));
-        let died = world.now;
-        world.do_fault(&Fault::Kill(29));
-        while world.now < died + 60_000 && !world.all_know_dead(29) {
-            let next = world.now + 50;
-            let _ = world.go(next);
+    let known: Vec<f64> = run_parallel(core_count(), 0..if quick { 30 } else { 200 }, |seed| {
+        let mut simulation = Simulation::new(
+            SimulationConfig { machines: 30, voters: 5, ..SimulationConfig::default() },
+            seed,
+        );
+        simulation.invariants.compares_states = false;
+        let _ = simulation.run_until(20_000);
+        simulation.inject(&Fault::SetLoss(0.02, 0.0));
+        let died = simulation.now;
+        simulation.inject(&Fault::Kill(29));
+        while simulation.now < died + 60_000 && !simulation.is_known_dead(29) {
+            let next = simulation.now + 50;
+            let _ = simulation.run_until(next);
         }
-        (world.now - died) as f64 / 1000.0
+        (simulation.now - died) as f64 / 1000.0
     });
     let mut known = known;
     known.sort_by(f64::total_cmp);
     let at = |part: f64| known[((known.len() as f64 * part) as usize).min(known.len() - 1)];
     // Hours of a fleet with loss and short stops, in pieces side by side.
     let hours = if quick { 4 } else { 100 };
-    let false_deaths: u64 = abreast(cores(), 0..hours, |seed| {
-        let mut world = World::new(Shape { machines: 10, voters: 3, ..Shape::default() }, seed);
-        world.witness.thorough = false;
-        let _ = world.go(20_000);
-        world.do_fault(&Fault::Loss(0.02, 0.0));
+    let false_deaths: u64 = run_parallel(core_count(), 0..hours, |seed| {
+        let mut simulation = Simulation::new(
+            SimulationConfig { machines: 10, voters: 3, ..SimulationConfig::default() },
+            seed,
+        );
+        simulation.invariants.compares_states = false;
+        let _ = simulation.run_until(20_000);
+        simulation.inject(&Fault::SetLoss(0.02, 0.0));
         let mut rng = fastrand::Rng::with_seed(seed);
         let mut taken = 0;
-        let mut before = world.taken_for_dead();
+        let mut before = simulation.believed_dead();
         for _ in 0..720 {
-            world.do_fault(&Fault::Stop(rng.usize(0..10), 300));
-            let next = world.now + 5_000;
-            let _ = world.go(next);
-            let now = world.taken_for_dead();
+            simulation.inject(&Fault::Stop(rng.usize(0..10), 300));
+            let next = simulation.now + 5_000;
+            let _ = simulation.run_until(next);
+            let now = simulation.believed_dead();
             taken += now.difference(&before).count() as u64;
             before = now;
         }
@@ -150,7 +168,7 @@
 const BEARS: f64 = 8.0;
 const DAY: u64 = 1_800;
 const ASKED_AT: u64 = 240;
-const BURST: u64 = 600;
+const BURST_SECONDS: u64 = 600;
 const WORK: u64 = 30;
 
 /// The headroom rule against "three at once", over bursts that begin before, while and after the first are out. What those
@@ -158,27 +176,31 @@
 /// apart from what is lost for grants that were given in it.
 fn headroom(report: &mut Report) {
     let bursts = [200, 250, 270, 290, 310, 400];
-    let demand = |burst: u64, second: u64| if (burst..burst + BURST).contains(&second) { 7.4 } else { 5.0 };
-    let days = abreast(cores(), 0..bursts.len() as u64, |at| {
+    let demand =
+        |burst: u64, second: u64| if (burst..burst + BURST_SECONDS).contains(&second) { 7.4 } else { 5.0 };
+    let days = run_parallel(core_count(), 0..bursts.len() as u64, |at| {
         let burst = bursts[at as usize];
-        (settled(burst, &|second| demand(burst, second)), unasked(&|second| demand(burst, second)))
+        (
+            day_by_the_fleet(burst, &|second| demand(burst, second)),
+            day_in_fixed_batches(&|second| demand(burst, second)),
+        )
     });
     let mut rows = Vec::new();
     let (mut lost, mut in_burst, mut plain, mut done) = (0.0, 0.0, 0.0, 0);
-    for (burst, (settled, unasked)) in bursts.iter().zip(&days) {
+    for (burst, (by_fleet, fixed)) in bursts.iter().zip(&days) {
         let time = |day: &Day| day.done.map_or("not within the day".into(), |s| s.to_string());
         rows.push(vec![
             burst.to_string(),
-            format!("{:.4}", settled.lost / settled.asked),
-            format!("{:.4}", settled.granted_in_burst / settled.asked),
-            time(settled),
-            format!("{:.4}", unasked.lost / unasked.asked),
-            time(unasked),
+            format!("{:.4}", by_fleet.lost / by_fleet.asked),
+            format!("{:.4}", by_fleet.granted_in_burst / by_fleet.asked),
+            time(by_fleet),
+            format!("{:.4}", fixed.lost / fixed.asked),
+            time(fixed),
         ]);
-        lost += settled.lost;
-        in_burst += settled.granted_in_burst;
-        plain += unasked.lost;
-        done = done.max(settled.done.unwrap_or(DAY));
+        lost += by_fleet.lost;
+        in_burst += by_fleet.granted_in_burst;
+        plain += fixed.lost;
+        done = done.max(by_fleet.done.unwrap_or(DAY));
     }
     report.table(
         "Ten servers out in turn around a burst: headroom with three at the most, and three at once",
@@ -197,32 +219,45 @@
     report.at_most("headroom_done_s", done as f64, (DAY - ASKED_AT) as f64 - 1.0);
 }
 
-fn settled(burst: u64, demand: &dyn Fn(u64) -> f64) -> Day {
-    let rules = Rules { out: Amount::Count(3), ..Rules::default() };
-    let work = WORK * 1000;
-    let mut world = World::new(Shape { machines: MACHINES, voters: 5, rules, work, ..Shape::default() }, 5);
-    world.witness.thorough = false;
-    let _ = world.go(20_000);
-    let start = world.now;
+fn day_by_the_fleet(burst: u64, demand: &dyn Fn(u64) -> f64) -> Day {
+    let rules = Rules { max_out: Limit::Count(3), ..Rules::default() };
+    let maintenance_millis = WORK * 1000;
+    let mut simulation = Simulation::new(
+        SimulationConfig {
+            machines: MACHINES,
+            voters: 5,
+            rules,
+            maintenance_millis,
+            ..SimulationConfig::default()
+        },
+        5,
+    );
+    simulation.invariants.compares_states = false;
+    let _ = simulation.run_until(20_000);
+    let start = simulation.now;
     let mut day = Day::default();
     for second in 0..DAY {
-        world.do_fault(&Fault::Demand(demand(second)));
+        simulation.inject(&Fault::SetLoad(demand(second)));
         if second == ASKED_AT {
-            world.do_fault(&Fault::Ask((0..MACHINES).collect(), Urgency::Routine));
+            simulation.inject(&Fault::RequestWork((0..MACHINES).collect(), Urgency::Routine));
         }
-        let _ = world.go(start + (second + 1) * 1_000);
-        let lost = day.second(demand(second) * MACHINES as f64, BEARS * world.there() as f64);
+        let _ = simulation.run_until(start + (second + 1) * 1_000);
+        let lost = day.second(demand(second) * MACHINES as f64, BEARS * simulation.serving_count() as f64);
         let burst_began = start + burst * 1_000;
         // Digests that tell of the burst are a few seconds old at the most; what was granted before they came was not
         // granted in it.
         let seen = burst_began + 5_000;
-        if (burst..burst + BURST).contains(&second)
-            && world.witness.left.iter().any(|(.., at)| *at > seen && *at + work > world.now)
+        if (burst..burst + BURST_SECONDS).contains(&second)
+            && simulation
+                .invariants
+                .departures
+                .iter()
+                .any(|departure| departure.at > seen && departure.at + maintenance_millis > simulation.now)
         {
             day.granted_in_burst += lost;
         }
-        let stages = world.stages();
-        if stages.len() == MACHINES && stages.iter().all(|(.., stage)| *stage == Stage::Done) {
+        let stages = simulation.tickets();
+        if stages.len() == MACHINES && stages.iter().all(|ticket| ticket.stage == Stage::Done) {
             day.done.get_or_insert(second - ASKED_AT);
         }
     }
@@ -230,7 +265,7 @@
 }
 
 /// Three at once, one after the other, whatever is carried: the same cycle of drain, work and warming.
-fn unasked(demand: &dyn Fn(u64) -> f64) -> Day {
+fn day_in_fixed_batches(demand: &dyn Fn(u64) -> f64) -> Day {
     const AWAY: u64 = WORK + 4;
     const CYCLE: u64 = AWAY + 10;
     let groups = MACHINES.div_ceil(3) as u64;
