A cold server tells its part of the speed with its first batch; tests of the cold start and of quotas

Cause: the first sample of the send share came a period (250 ms) after the start, so a cold server's first answers told nothing, and who has heard nothing acts as at 1.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -242,7 +242,8 @@
     fn measured(&mut self, gauges: Gauges) {
         self.gauges = gauges;
         if let Some(on_cores) = gauges.on_cores {
-            self.connections.measured(on_cores, self.running, self.set.cores);
+            let overhead = (on_cores - self.running).max(0.0) / on_cores.max(self.set.cores);
+            self.connections.overhead_lately.add(overhead, 0.0);
         }
     }
 
@@ -259,6 +260,8 @@
         if self.next_beat == f64::NEG_INFINITY {
             // Stored answers keep checks cheap; that a process answers at all is the rest of the news.
             out.push(Action::Health { good: true, stored: true });
+            // A cold server's first answer tells its part of the speed: who has heard nothing takes it for warm.
+            self.tell_change(out);
         }
         if now >= self.next_beat {
             self.next_beat = now + BEAT;
@@ -366,9 +369,7 @@
                 self.forget_key(id, out);
                 self.forget(id);
             }
-            Stage::Reusing => {
-                self.forget(id);
-            }
+            Stage::Reusing => drop(self.forget(id)),
             // Work for nobody is stopped where that is possible.
             Stage::Running => self.stop(id, out),
             Stage::NeedsCall | Stage::Calling => self.calls.waiting_off(request.key),
@@ -386,8 +387,8 @@
             self.progress();
         }
         let Some(request) = self.forget(id) else { return };
+        // Answered meanwhile: its call is abandoned with it, and may linger below.
         if request.stage == Stage::Calling {
-            // Answered meanwhile: its call is abandoned with it, and may linger below.
             self.calls.lingering.push(self.now + self.set.call_lingers);
         }
         if request.stage == Stage::Reusing || !matches!(outcome, Outcome::Ok | Outcome::Error) {
@@ -517,10 +518,14 @@
         if self.starved() {
             self.limit.cut(self.now, self.set.cores / 3.0);
         }
-        // A cold server asks for no more than its part of the speed, one that begins no more for nothing.
+        self.tell_change(out);
+    }
+
+    /// A cold server asks for no more than its part of the speed, one that begins no more for nothing.
+    fn tell_change(&mut self, out: &mut Vec<Action>) {
         let value = if self.stalled { 0.0 } else { self.share.value.min(self.speed_share()) };
-        let value = value.max(SHARE_FLOOR);
-        let value = if self.leaving.is_some_and(|l| self.now >= l.run_until) { 0.0 } else { value };
+        let leaves = self.leaving.is_some_and(|l| self.now >= l.run_until);
+        let value = if leaves { 0.0 } else { value.max(SHARE_FLOOR) };
         if (value - self.share.told).abs() >= 0.01 || (value == 1.0 && self.share.told != 1.0) {
             self.share.told = value;
             self.tell(value, out);
@@ -1072,9 +1077,7 @@
         }
         true
     }
-}
 
-impl Choice {
     /// The last read of those that wait for another's result: they take memory, and no run ends their stay.
     fn newest_reusing(&self) -> Option<RequestId> {
         let reusing = |(_, r): &(&RequestId, &Request)| r.stage == Stage::Reusing;
@@ -1124,10 +1127,6 @@
         self.reused.add(reused, LEARN);
     }
 
-    fn measured(&mut self, on_cores: f64, running: f64, cores: f64) {
-        self.overhead_lately.add((on_cores - running).max(0.0) / on_cores.max(cores), 0.0);
-    }
-
     /// The idle time from now on, where it changes.
     fn sample(&mut self, now: f64, gauges: &Gauges, set: &Settings) -> Option<f64> {
         if self.overhead_lately.samples > 0 {
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -420,3 +420,35 @@
         assert!(served > 0, "{day:?}: nothing is served");
     }
 }
+
+/// The first answer of all already tells it: callers that have heard nothing act as if it were warm.
+#[test]
+fn the_first_batch_of_a_cold_server_tells_its_part_of_the_speed() {
+    let mut set = settings();
+    (set.cold, set.cold_share) = (true, 0.2);
+    let driver = Driver::new(set);
+    assert_eq!(driver.shares_told(), [0.2]);
+}
+
+/// What waits for its call is not on the cores, and comes back unasked: all that was begun is survived together.
+#[test]
+fn calls_that_come_back_together_stay_within_what_a_cold_server_survives() {
+    let mut set = settings();
+    (set.cores, set.cold, set.cold_share) = (CORES, true, 0.2);
+    let n = survived(&set, 0.0);
+    let mut driver = Driver::new(set);
+    driver.gauges.on_cores = Some(0.0);
+    driver.batch((1..=60).map(|id| Event::Arrived(arrival(id, SAFE))).collect());
+    // Each run comes to its call as soon as it is begun; then all calls end, over and over, and no run does.
+    let mut seen = 0;
+    while seen < driver.log.len() {
+        let id = if let Action::Run(id) = driver.log[seen].1 { Some(id) } else { None };
+        seen += 1;
+        if let Some(id) = id {
+            driver.one(Event::NeedsCall(id));
+        }
+    }
+    let begun = driver.started() as f64;
+    assert!(begun >= CORES, "its cores are used: {begun}");
+    assert!(begun <= n, "{begun} may be on the cores at once, {n} survive");
+}
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -324,3 +324,44 @@
     d.pass(300.0);
     assert_eq!(d.told(), 1.0, "a stall leaves nothing behind in the loop");
 }
+
+/// The part of a tenant's requests that one server of a fleet takes to be beyond the tenant's quota, where they come
+/// evenly at random at `load` times the quota. Seen by what runs first: the request, or one of half its worth.
+fn part_beyond_quota(servers: f64, quota_per_s: f64, load: f64) -> f64 {
+    const REQUESTS: u32 = 30_000;
+    let mut set = settings();
+    (set.cores, set.servers) = (1.0, servers);
+    set.classes[UNSAFE].worth = 0.5;
+    set.tenants = vec![Tenant { quota_per_s }, Tenant { quota_per_s: 1e9 }];
+    let mut d = Driver::new(set);
+    d.gauges = FULL;
+    let mut random = 12345u64;
+    let mut beyond = 0;
+    for step in 0..REQUESTS {
+        random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        let uniform = ((random >> 11) as f64 + 1.0) / (1u64 << 53) as f64;
+        d.now += -uniform.ln() * 1000.0 * servers / (quota_per_s * load);
+        let [running, watched, other] = [3 * step + 1, 3 * step + 2, 3 * step + 3];
+        for (id, class, tenant) in [(running, SAFE, 1), (watched, SAFE, 0), (other, UNSAFE, 1)] {
+            let mut a = arrival(id, class);
+            a.tenant = tenant;
+            d.one(Event::Arrived(a));
+        }
+        let next = runs(&d.finish(running, 1.0));
+        beyond += u32::from(next == [other]);
+        for id in [next[0], watched + other - next[0]] {
+            d.finish(id, 1.0);
+        }
+    }
+    f64::from(beyond) / f64::from(REQUESTS)
+}
+
+#[test]
+fn a_tenant_within_its_quota_is_taken_for_one_beyond_it_seldom_at_any_size_of_fleet() {
+    for (servers, quota) in [(20.0, 4.0), (100.0, 4.0), (590.0, 4.0), (20.0, 40.0)] {
+        let within = part_beyond_quota(servers, quota, 0.9);
+        assert!(within <= 0.05, "{servers} servers: {within} at 0.9 of the quota");
+        let twice = part_beyond_quota(servers, quota, 2.0);
+        assert!((0.45..0.55).contains(&twice), "{servers} servers: {twice} at twice the quota");
+    }
+}
