Configurations are compared in linear work, and tenants are read without a tree of values

Comparing two configurations looked for each member by walking the list, and cloned both sides of every key on the way (guard.rs, differ): quadratic in tenants. Reading kept two trees of the whole file.

Members are looked up where they are expected, then by a few scans, then by an index (lookup.rs). The file is deserialized straight from its text; tenants go into one text and a number each (document.rs, tenants.rs). A new member that bears the name of another is told of as new; all other messages are the same. Errors of reading are typed (error.rs).

--- /dev/null
+++ b/crates/loomflow-settings/src/compare.rs
@@ -0,0 +1,158 @@
+//! Compares two documents key by key. The work grows with the size of the documents, and only what differs is copied.
+
+use std::collections::BTreeSet;
+
+use serde_json::{Map, Value};
+
+use crate::document::{Document, SETTINGS, TENANTS};
+use crate::lookup::{Lookup, NamedList};
+use crate::tenants::{TenantList, Tenants};
+
+#[cfg(test)]
+mod tests;
+
+static NULL: Value = Value::Null;
+
+/// A key whose values differ.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Difference {
+    /// Its path; members of lists go by their `Name`.
+    pub(crate) key: String,
+    pub(crate) old: Value,
+    pub(crate) new: Value,
+}
+
+/// What has been found so far.
+#[derive(Debug, Default)]
+struct Comparison {
+    differences: Vec<Difference>,
+}
+
+/// All keys that differ, in the order of their paths; absent is the same as null.
+pub(crate) fn compare(old: &Document, new: &Document) -> Vec<Difference> {
+    let mut comparison = Comparison::default();
+    if let (Value::Object(before), Value::Object(after)) = (&old.tree, &new.tree) {
+        comparison.objects("", before, after, Some((&old.tenants, &new.tenants)));
+    }
+    comparison.differences
+}
+
+/// The tenants of both sides, where an object may contain them.
+type TenantSides<'a> = Option<(&'a Tenants, &'a Tenants)>;
+
+impl Comparison {
+    /// Compares objects. `tenants` are given on the way to the key that holds them, for they are no part of the tree.
+    fn objects(
+        &mut self,
+        path: &str,
+        before: &Map<String, Value>,
+        after: &Map<String, Value>,
+        tenants: TenantSides,
+    ) {
+        let mut keys: BTreeSet<&str> = before.keys().chain(after.keys()).map(String::as_str).collect();
+        if path == SETTINGS {
+            keys.insert(TENANTS);
+        }
+        for key in keys {
+            let below = join(path, key);
+            let (old, new) = (before.get(key).unwrap_or(&NULL), after.get(key).unwrap_or(&NULL));
+            match (tenants, old, new) {
+                (Some((old, new)), ..) if path == SETTINGS && key == TENANTS => {
+                    self.tenants(&below, old, new)
+                }
+                (Some(_), Value::Object(old), Value::Object(new)) if below == SETTINGS => {
+                    self.objects(&below, old, new, tenants);
+                }
+                _ => self.values(&below, old, new),
+            }
+        }
+    }
+
+    /// Compares any two values. Lists of named members are matched by name, others are one value.
+    fn values(&mut self, path: &str, old: &Value, new: &Value) {
+        if old == new {
+            return;
+        }
+        match (old, new) {
+            (Value::Object(before), Value::Object(after)) => self.objects(path, before, after, None),
+            (Value::Array(before), Value::Array(after)) if before.all_named() && after.all_named() => {
+                self.members(path, before, after);
+            }
+            _ => self.differ(path, old.clone(), new.clone()),
+        }
+    }
+
+    fn members(&mut self, path: &str, before: &[Value], after: &[Value]) {
+        pair_members(before, after, |pair| {
+            let old = pair.old.map_or(&NULL, |at| &before[at]);
+            let new = pair.new.map_or(&NULL, |at| &after[at]);
+            if old != new {
+                self.values(&join_member(path, pair.name), old, new);
+            }
+        });
+    }
+
+    fn tenants(&mut self, path: &str, old: &Tenants, new: &Tenants) {
+        match (old, new) {
+            (Tenants::List(before), Tenants::List(after)) if before.all_named() && after.all_named() => {
+                self.tenant_members(path, before, after);
+            }
+            _ if old == new => {}
+            _ => self.values(path, &old.to_value(), &new.to_value()),
+        }
+    }
+
+    fn tenant_members(&mut self, path: &str, before: &TenantList, after: &TenantList) {
+        let value = |list: &TenantList, at: Option<usize>| at.map(|at| list.value(at)).unwrap_or_default();
+        pair_members(before, after, |pair| {
+            if let (Some(old), Some(new)) = (pair.old, pair.new)
+                && before.same(old, after, new)
+            {
+                return;
+            }
+            let (old, new) = (value(before, pair.old), value(after, pair.new));
+            self.values(&join_member(path, pair.name), &old, &new);
+        });
+    }
+
+    fn differ(&mut self, path: &str, old: Value, new: Value) {
+        self.differences.push(Difference { key: path.to_owned(), old, new });
+    }
+}
+
+/// Members of two lists that bear the same name, by their places; one of them may be missing.
+struct MemberPair<'a> {
+    name: &'a str,
+    old: Option<usize>,
+    new: Option<usize>,
+}
+
+/// Visits the members of both lists by name: first those of the old list in its order, then those that are in the new
+/// list only.
+fn pair_members<'a, L>(before: &'a L, after: &'a L, mut visit: impl FnMut(MemberPair<'a>))
+where
+    L: NamedList + ?Sized,
+{
+    let name = |list: &'a L, at: usize| list.name(at).unwrap_or_default();
+    let new_names = Lookup::new(after);
+    let mut paired = vec![false; after.len()];
+    for at in 0..before.len() {
+        let name = name(before, at);
+        let new = new_names.find(name);
+        if let Some(new) = new {
+            paired[new] = true;
+        }
+        visit(MemberPair { name, old: Some(at), new });
+    }
+    for at in (0..after.len()).filter(|at| !paired[*at]) {
+        visit(MemberPair { name: name(after, at), old: None, new: Some(at) });
+    }
+}
+
+fn join(path: &str, key: &str) -> String {
+    if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") }
+}
+
+fn join_member(path: &str, name: &str) -> String {
+    format!("{path}[{name}]")
+}
--- a/crates/loomflow-settings/src/config.rs
+++ b/crates/loomflow-settings/src/config.rs
@@ -4,15 +4,19 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-use serde_json::Value;
-
+use crate::document::{Document, SETTINGS};
+use crate::error::ConfigError;
 use crate::read::{Node, Read};
 use crate::site::Site;
 
+#[cfg(test)]
+mod tests;
+
 const SOCKETS: u64 = 1024;
 const MEMORY_MB: u64 = 192;
-/// The longest file that is read, bytes.
-const MOST_BYTES: u64 = 4 * 1024 * 1024;
+/// The longest file that is read, MiB.
+const MAX_MIB: u64 = 4;
+const MAX_BYTES: u64 = MAX_MIB * 1024 * 1024;
 
 /// What a server is told at its start. Unknown keys are skipped.
 #[derive(Clone, Debug)]
@@ -34,27 +38,32 @@
     pub cores: f64,
     pub site: Site,
     /// The file as it stands.
-    raw: Value,
+    document: Document,
 }
 
 impl Config {
-    pub fn load(path: &Path) -> Read<Config> {
-        let named = |e: String| format!("{}: {e}", path.display());
-        let text = read(path).map_err(|e| named(format!("cannot be read: {e}")))?;
-        Config::parse(&text).map_err(named)
+    /// Reads and checks a file. Errors name the file, and the key where there is one.
+    pub fn load(path: &Path) -> Result<Config, ConfigError> {
+        let text = read(path)?;
+        Config::parse(&text).map_err(|error| error.in_file(path))
     }
 
     /// As `load`, while serving: opening a pipe would wait for somebody to write to it, and signals with it.
     pub fn load_again(path: &Path) -> Read<Config> {
         match std::fs::metadata(path) {
-            Ok(found) if !found.is_file() => Err(format!("{}: cannot be read: not a file", path.display())),
-            _ => Config::load(path),
+            Ok(found) if !found.is_file() => Err(ConfigError::NotAFile { path: path.to_owned() }.into()),
+            _ => Ok(Config::load(path)?),
         }
     }
 
-    pub fn parse(text: &str) -> Read<Config> {
-        let value: Value = serde_json::from_str(text).map_err(|e| format!("not JSON: {e}"))?;
-        let root = Node::new("", &value)?;
+    /// Reads and checks the text of a file. Errors name the key.
+    pub fn parse(text: &str) -> Result<Config, ConfigError> {
+        let document: Document = serde_json::from_str(text)?;
+        Config::from_document(document).map_err(ConfigError::Invalid)
+    }
+
+    fn from_document(document: Document) -> Read<Config> {
+        let root = Node::new("", &document.tree)?;
         let seed = root.needed_word("seed")?;
         Ok(Config {
             name: name(&root)?,
@@ -68,29 +77,41 @@
             sockets: at_least_one(&root.child_or_empty("limits")?, "sockets", SOCKETS)?,
             memory_mb: at_least_one(&root.child_or_empty("limits")?, "memory_mb", MEMORY_MB)?,
             cores: cores(&root.child_or_empty("limits")?)?,
-            site: Site::read(&root.child("settings")?)?,
-            raw: value.clone(),
+            site: Site::with_tenants(&root.child(SETTINGS)?, &document.tenants)?,
+            document,
         })
     }
 
     /// The whole file, for a comparison key by key.
-    pub fn raw(&self) -> &Value {
-        &self.raw
+    pub(crate) fn document(&self) -> &Document {
+        &self.document
     }
 
     /// What a server goes on with after a later reading: all of that, with `site` as it has taken it up.
     pub fn followed_by(&self, later: Config, site: Site) -> Config {
-        let Config { engine, control, ledger, raw, .. } = later;
-        Config { engine, control, ledger, raw, site, ..self.clone() }
+        Config {
+            name: self.name.clone(),
+            listen: self.listen,
+            seed: self.seed,
+            stop_ms: self.stop_ms,
+            sockets: self.sockets,
+            memory_mb: self.memory_mb,
+            cores: self.cores,
+            site,
+            ..later
+        }
     }
 }
 
 /// The whole file; one beyond the bound is not read on, so that it costs a server that serves neither memory nor time.
-fn read(path: &Path) -> std::io::Result<String> {
-    let mut text = String::new();
-    std::fs::File::open(path)?.take(MOST_BYTES + 1).read_to_string(&mut text)?;
-    if text.len() as u64 > MOST_BYTES {
-        return Err(std::io::Error::new(std::io::ErrorKind::InvalidData, "longer than 4 MiB"));
+fn read(path: &Path) -> Result<String, ConfigError> {
+    let unreadable = |source| ConfigError::Unreadable { path: path.to_owned(), source };
+    let file = std::fs::File::open(path).map_err(unreadable)?;
+    let length = file.metadata().map_err(unreadable)?.len().min(MAX_BYTES);
+    let mut text = String::with_capacity(length as usize + 1);
+    file.take(MAX_BYTES + 1).read_to_string(&mut text).map_err(unreadable)?;
+    if text.len() as u64 > MAX_BYTES {
+        return Err(ConfigError::TooLong { path: path.to_owned(), max_mib: MAX_MIB });
     }
     Ok(text)
 }
--- /dev/null
+++ b/crates/loomflow-settings/src/config/tests.rs
@@ -0,0 +1,76 @@
+use serde_json::{Value, json};
+
+use super::*;
+
+fn file(tenants: Value) -> Value {
+    json!({"name": "n", "listen": "127.0.0.1:1", "engine": "127.0.0.1:2", "seed": "1", "stop_ms": 3000,
+        "settings": {
+            "Classes": [{"Name": "read", "Effect": "safe", "HardLimit": 900, "OnTime": 300, "Points": 1}],
+            "Orgs": tenants,
+            "Domain": {"Cpus": 2, "HeapKb": 100, "RunMemFactor": 8},
+            "Rules": {"FallMultiple": 5}}})
+}
+
+fn fault(file: &Value) -> String {
+    Config::parse(&file.to_string()).unwrap_err().to_string()
+}
+
+#[test]
+fn tenants_are_read_with_their_names_and_quotas() {
+    let list =
+        json!([{"Name": "a", "QuotaPerS": 2}, {"Name": "b"}, {"Name": "c", "QuotaPerS": 0.5, "Note": "x"}]);
+    let site = Config::parse(&file(list).to_string()).unwrap().site;
+    let quotas: Vec<f64> = site.settings.tenants.iter().map(|tenant| tenant.quota_per_s).collect();
+    assert_eq!((site.tenants, quotas), (["a", "b", "c"].map(String::from).to_vec(), vec![2.0, 0.0, 0.5]));
+    assert!(Config::parse(&file(Value::Null).to_string()).unwrap().site.tenants.is_empty());
+}
+
+#[test]
+fn each_fault_of_a_tenant_is_named_by_its_place_and_key() {
+    let good = || json!({"Name": "a", "QuotaPerS": 1});
+    let cases = [
+        (json!("many"), "settings.Orgs: not an array"),
+        (json!({"a": good()}), "settings.Orgs: not an array"),
+        (json!([good(), 7]), "settings.Orgs[1]: not an object"),
+        (json!([good(), ["a", 1]]), "settings.Orgs[1]: not an object"),
+        (
+            json!([good(), good(), {"Name": "b", "QuotaPerS": "x"}]),
+            "settings.Orgs[2].QuotaPerS: not a number",
+        ),
+        (json!([{"Name": "b", "QuotaPerS": -1}]), "settings.Orgs[0].QuotaPerS: below 0"),
+        (json!([{"Name": "b", "QuotaPerS": -1, "Note": 1}]), "settings.Orgs[0].QuotaPerS: below 0"),
+        (json!([good(), {"Name": 5}]), "settings.Orgs[1].Name: not a text"),
+    ];
+    for (tenants, message) in cases {
+        assert_eq!(fault(&file(tenants)), message);
+    }
+}
+
+#[test]
+fn a_file_of_another_shape_is_named_as_before() {
+    for (text, message) in [
+        ("[]", "not an object"),
+        ("null", "not an object"),
+        ("{", "not JSON: EOF while parsing an object at line 1 column 1"),
+        ("{} {}", "not JSON: trailing characters at line 1 column 4"),
+    ] {
+        assert_eq!(Config::parse(text).unwrap_err().to_string(), message);
+    }
+    let mut config = file(json!([]));
+    config["settings"] = json!(["Orgs"]);
+    assert_eq!(fault(&config), "settings: not an object");
+    config["settings"] = Value::Null;
+    assert_eq!(fault(&config), "settings: missing");
+}
+
+#[test]
+fn what_a_server_goes_on_with_keeps_what_counts_from_the_next_start_on() {
+    let first = Config::parse(&file(json!([])).to_string()).unwrap();
+    let mut changed = file(json!([{"Name": "a", "QuotaPerS": 1}]));
+    (changed["name"], changed["engine"], changed["stop_ms"]) = (json!("m"), json!("127.0.0.1:9"), json!(1));
+    let later = Config::parse(&changed.to_string()).unwrap();
+    let (engine, document) = (later.engine, later.document.clone());
+    let now = first.followed_by(later, first.site.clone());
+    assert_eq!((now.name, now.stop_ms, now.engine), ("n".to_owned(), 3000.0, engine));
+    assert!(now.site.tenants.is_empty() && now.document == document);
+}
--- a/crates/loomflow-settings/src/guard.rs
+++ b/crates/loomflow-settings/src/guard.rs
@@ -5,7 +5,9 @@
 use loomflow::interface::{Class, Effect};
 use serde_json::Value;
 
+use crate::compare::{Difference, compare};
 use crate::config::Config;
+use crate::lookup::Lookup;
 
 #[cfg(test)]
 mod tests;
@@ -74,46 +76,15 @@
     if !faults.is_empty() {
         return Err(faults);
     }
-    let mut changes = Vec::new();
-    differ("", pair.old.raw(), pair.new.raw(), &mut changes);
-    Ok(changes)
+    let differences = compare(pair.old.document(), pair.new.document());
+    Ok(differences.into_iter().map(Change::from).collect())
 }
 
-/// Walks two values side by side. Lists of named members are matched by name, others are one value.
-fn differ(path: &str, old: &Value, new: &Value, changes: &mut Vec<Change>) {
-    if old == new {
-        return;
+impl From<Difference> for Change {
+    fn from(Difference { key, old, new }: Difference) -> Change {
+        let when = when(&key, &old);
+        Change { key, old, new, when }
     }
-    let within = |key: &str| if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") };
-    match (old, new) {
-        (Value::Object(before), Value::Object(after)) => {
-            let mut keys: Vec<&String> = before.keys().chain(after.keys()).collect();
-            keys.sort();
-            keys.dedup();
-            for key in keys {
-                let side = |map: &serde_json::Map<String, Value>| map.get(key).cloned().unwrap_or_default();
-                differ(&within(key), &side(before), &side(after), changes);
-            }
-        }
-        (Value::Array(before), Value::Array(after)) if named(before) && named(after) => {
-            let find = |list: &[Value], name: &Value| list.iter().find(|one| &one["Name"] == name).cloned();
-            for one in before.iter().chain(after.iter().filter(|one| find(before, &one["Name"]).is_none())) {
-                let name = &one["Name"];
-                let path = format!("{path}[{}]", name.as_str().unwrap_or_default());
-                let (before, after) = (find(before, name), find(after, name));
-                differ(&path, &before.unwrap_or_default(), &after.unwrap_or_default(), changes);
-            }
-        }
-        _ => {
-            let (key, old, new) = (path.to_owned(), old.clone(), new.clone());
-            let when = when(path, &old);
-            changes.push(Change { key, old, new, when });
-        }
-    }
-}
-
-fn named(list: &[Value]) -> bool {
-    list.iter().all(|one| one["Name"].is_string())
 }
 
 fn when(path: &str, old: &Value) -> When {
@@ -132,10 +103,11 @@
 
 /// Classes of both, by name: the name, the old one's place, and both.
 fn classes<'a>(pair: &'a Pair) -> impl Iterator<Item = (&'a str, usize, &'a Class, Option<&'a Class>)> {
-    let new = &pair.new.site;
-    pair.old.site.classes.iter().enumerate().map(move |(at, name)| {
-        let after = new.classes.iter().position(|one| one == name).map(|at| &new.settings.classes[at]);
-        (name.as_str(), at, &pair.old.site.settings.classes[at], after)
+    let (old, new) = (&pair.old.site, &pair.new.site);
+    let new_names = Lookup::new(&new.classes[..]);
+    old.classes.iter().enumerate().map(move |(at, name)| {
+        let after = new_names.find(name).map(|at| &new.settings.classes[at]);
+        (name.as_str(), at, &old.settings.classes[at], after)
     })
 }
 
@@ -177,7 +149,8 @@
 
 /// A fault where there were some, and none of them is among the new ones.
 fn none_stays(key: &str, old: &[String], new: &[String], rule: &'static str) -> Vec<Fault> {
-    if old.is_empty() || old.iter().any(|name| new.contains(name)) {
+    let new_names = Lookup::new(new);
+    if old.is_empty() || old.iter().any(|name| new_names.find(name).is_some()) {
         return Vec::new();
     }
     vec![Fault { key: key.into(), value: new.join(", "), rule }]
--- a/crates/loomflow-settings/src/site.rs
+++ b/crates/loomflow-settings/src/site.rs
@@ -2,7 +2,10 @@
 
 use loomflow::interface::*;
 
+use crate::document::TENANTS;
+use crate::lookup::Lookup;
 use crate::read::{Node, Read};
+use crate::tenants::Tenants;
 
 /// The module's settings, and what only a front needs: names by index, and the order of the gauges.
 #[derive(Clone, Debug)]
@@ -16,12 +19,18 @@
 }
 
 impl Site {
+    /// Reads a settings object. Errors name the key.
     pub fn read(info: &Node) -> Read<Site> {
+        Site::with_tenants(info, &Tenants::from_value(info.get(TENANTS)))
+    }
+
+    /// As `read`, where the tenants have been read apart from the rest.
+    pub(crate) fn with_tenants(info: &Node, tenants: &Tenants) -> Read<Site> {
         let domain = info.child("Domain")?;
         Ok(Site {
-            settings: settings(info, &domain)?,
+            settings: settings(info, &domain, tenants)?,
             classes: names(info, "Classes")?,
-            tenants: names(info, "Orgs")?,
+            tenants: tenants.names(&info.name(TENANTS))?,
             gauges: domain.words("Gauges")?,
             deep_checks: domain.flag("DeepChecks")?,
         })
@@ -30,23 +39,14 @@
     /// Takes up from a later reading what may change while serving (`guard`). Classes and tenants keep their places,
     /// whatever their order there; new tenants come after them, and those that are gone stay until the next start.
     pub fn take_up(&mut self, later: &Site) -> Terms {
+        let classes = Lookup::new(&later.classes[..]);
         for (name, class) in self.classes.iter().zip(&mut self.settings.classes) {
-            let Some(at) = later.classes.iter().position(|one| one == name) else { continue };
+            let Some(at) = classes.find(name) else { continue };
             let new = &later.settings.classes[at];
             (class.aim, class.aim_stretch, class.give_up) = (new.aim, new.aim_stretch, new.give_up);
             (class.worth, class.late_worth, class.window) = (new.worth, new.late_worth, new.window);
         }
-        for (name, tenant) in later.tenants.iter().zip(&later.settings.tenants) {
-            match self.tenants.iter().position(|one| one == name) {
-                Some(at) => self.settings.tenants[at] = tenant.clone(),
-                // Where there were none, requests name none.
-                None if self.tenants.is_empty() => {}
-                None => {
-                    self.tenants.push(name.clone());
-                    self.settings.tenants.push(tenant.clone());
-                }
-            }
-        }
+        self.take_up_tenants(later);
         self.settings.drain_grace = later.settings.drain_grace;
         Terms {
             classes: self.settings.classes.clone(),
@@ -55,6 +55,25 @@
         }
     }
 
+    fn take_up_tenants(&mut self, later: &Site) {
+        // Where there were none, requests name none.
+        if self.tenants.is_empty() {
+            return;
+        }
+        let mut added = Vec::new();
+        let known = Lookup::new(&self.tenants[..]);
+        for (at, name) in later.tenants.iter().enumerate() {
+            match known.find(name) {
+                Some(place) => self.settings.tenants[place] = later.settings.tenants[at].clone(),
+                None => added.push(at),
+            }
+        }
+        for at in added {
+            self.tenants.push(later.tenants[at].clone());
+            self.settings.tenants.push(later.settings.tenants[at].clone());
+        }
+    }
+
     /// Puts measured values into the module's gauges, in the order of the settings.
     pub fn gauges(names: &[String], values: impl Iterator<Item = Option<f64>>) -> Gauges {
         let mut read = Gauges::default();
@@ -75,7 +94,7 @@
     info.children(key)?.iter().map(|c| c.word("Name").map(str::to_owned)).collect()
 }
 
-fn settings(info: &Node, domain: &Node) -> Read<Settings> {
+fn settings(info: &Node, domain: &Node, tenants: &Tenants) -> Read<Settings> {
     let rules = info.child("Rules")?;
     let limits = info.child_or_empty("Limits")?;
     let prices = info.child_or_empty("Prices")?;
@@ -103,13 +122,9 @@
     if classes.is_empty() {
         return info.error("Classes", "no class");
     }
-    let mut tenants = Vec::new();
-    for tenant in info.children("Orgs")? {
-        tenants.push(Tenant { quota_per_s: tenant.not_negative("QuotaPerS")? });
-    }
     Ok(Settings {
         classes,
-        tenants,
+        tenants: tenants.quotas(&info.name(TENANTS))?,
         over_share_worth: info.number("OverShareWorth")?,
         worth_by_work: info.word("ValueBy")? == "work",
         servers: info.not_negative("Servers")?,
