scripts/measure scale: connections, tenants, requests and simulated control at the operators' size

One real server with 7,700 idle connections, with 35,000 tenants and reloads, and under its part of the peak beside the same load straight to the engine's stand-in; control of 50 to 590 members in simulation.

--- a/crates/loomflow-measure/src/main.rs
+++ b/crates/loomflow-measure/src/main.rs
@@ -9,6 +9,7 @@
 mod owner;
 mod process;
 mod report;
+mod scale;
 
 use std::process::ExitCode;
 
@@ -23,6 +24,8 @@
   owner [PART]     duties of a fleet: rounds of faults with an outside receiver, simulation
                    (parts: rounds, simulated)
   overload [PROGRAM]  answers in time on both fronts beyond what the engine does; beside another build
+  scale [PART]     one server at the operators' size: its connections, its tenants, what it adds to a request
+                   (parts: connections, tenants, requests, control)
   against PROGRAM  this build of the server against another one, by RESP";
 
 fn asked() -> Result<(String, Option<String>, bool), String> {
@@ -44,6 +47,7 @@
         Ok((name, what, quick)) => match (name.as_str(), what) {
             ("overload", other) => Ok(overload::measure(quick, process::program(), other.map(Into::into))),
             ("order", part) => order::measure(quick, &process::program(), part.as_deref()),
+            ("scale", part) => scale::measure(quick, &process::program(), part.as_deref()),
             ("owner", part) => owner::measure(quick, &process::program(), part.as_deref()),
             // What the jobs of that measurement run.
             ("effects", Some(address)) => {
--- /dev/null
+++ b/crates/loomflow-measure/src/scale/connections.rs
@@ -0,0 +1,64 @@
+//! What a server pays for connections that only stay open.
+
+use std::path::Path;
+
+use super::{CALLERS, proc, setup};
+use crate::process;
+use crate::report::Report;
+
+const STEPS: [usize; 3] = [500, 2_000, CALLERS];
+/// What `loomflow-server::budget` grants the stacks and buffers of a connection, KB.
+const KB_A_CONNECTION: f64 = 24.0;
+
+struct Step {
+    connections: usize,
+    memory_mb: f64,
+    descriptors: usize,
+}
+
+pub fn measure(report: &mut Report, program: &Path) {
+    // The server closes idle connections when it runs short of descriptors, and this process needs one for each as well.
+    let most = proc::descriptors_allowed();
+    let size = setup::Size { connections: CALLERS, tenants: 2, period_ms: 5.0 };
+    let server = setup::start(program, size);
+    let look = |connections| Step {
+        connections,
+        memory_mb: process::memory(server.world.pid()),
+        descriptors: server.world.descriptors(),
+    };
+    let mut steps = vec![look(0)];
+    let mut open = Vec::new();
+    for step in STEPS.into_iter().filter(|step| *step <= most) {
+        open.extend(setup::open_idle(&server.world, step - open.len()));
+        steps.push(look(step));
+    }
+    print(report, &steps);
+    let (first, last) = (&steps[1], &steps[steps.len() - 1]);
+    let between = (last.connections - first.connections) as f64;
+    report.at_least("connections", last.connections as f64, CALLERS as f64);
+    let memory_kb = (last.memory_mb - first.memory_mb) * 1024.0 / between;
+    report.at_most("connection_kb", memory_kb, KB_A_CONNECTION);
+    let descriptors = (last.descriptors - first.descriptors) as f64 / between;
+    report.at_most("connection_descriptors", descriptors, 1.0);
+}
+
+fn print(report: &Report, steps: &[Step]) {
+    let base = &steps[0];
+    let row = |step: &Step| {
+        let count = step.connections.max(1) as f64;
+        let memory_kb = (step.memory_mb - base.memory_mb) * 1024.0 / count;
+        let descriptors = (step.descriptors - base.descriptors) as f64 / count;
+        vec![
+            step.connections.to_string(),
+            format!("{:.2}", step.memory_mb),
+            format!("{memory_kb:.2}"),
+            step.descriptors.to_string(),
+            format!("{descriptors:.3}"),
+        ]
+    };
+    report.table(
+        "Connections that only stay open (memory of the process; the system's buffers do not count)",
+        &["connections", "memory MB", "KB each", "descriptors", "each"],
+        steps.iter().map(row).collect(),
+    );
+}
--- /dev/null
+++ b/crates/loomflow-measure/src/scale/control.rs
@@ -0,0 +1,265 @@
+//! What control costs at the operators' size, in simulation: the servers' own state machines in virtual time, without
+//! sockets. Bytes are those of the messages; what TCP and IP add is not in them.
+
+use std::time::Duration;
+
+use loomflow_simulation::{Fault, Shape, World, abreast};
+
+use super::proc;
+use crate::process;
+use crate::report::Report;
+
+/// Fleets that are simulated; the last of them is the operators' size.
+const QUICK_SIZES: [usize; 2] = [50, 150];
+const SIZES: [usize; 4] = [50, 150, 300, 590];
+const VOTERS: usize = 5;
+/// Six zones in all, two to a region: the harder reading, as each zone and region is larger.
+const ZONES: usize = 6;
+const ZONES_OF_A_REGION: usize = 2;
+const RACK: usize = 20;
+/// A new fleet is quiet by then, ms.
+const FORMED: u64 = 25_000;
+/// A server may spend 3 KB a second on control.
+const BYTES_A_SECOND: f64 = 3.0 * 1024.0;
+/// From 150 to 590 members a figure may grow by this factor beyond the growth that its formula states.
+const BEND: f64 = 1.2;
+/// Plays at once: the machine is shared.
+const THREADS: usize = 4;
+
+/// What happens to the fleet while its traffic is watched.
+#[derive(Clone, Copy, PartialEq)]
+enum Event {
+    Quiet,
+    Restarts,
+    RackLost,
+    ZoneLost,
+    RegionCut,
+    RegionBack,
+    AllRestarted,
+}
+
+const EVENTS: [(Event, &str); 7] = [
+    (Event::Quiet, "quiet"),
+    (Event::Restarts, "a restart every 2 s"),
+    (Event::RackLost, "20 lost at once"),
+    (Event::ZoneLost, "the leader's zone lost"),
+    (Event::RegionCut, "the leader's region cut off"),
+    (Event::RegionBack, "that region back"),
+    (Event::AllRestarted, "all restarted at once"),
+];
+
+/// Bytes and messages that one kind of member sends a second.
+#[derive(Clone, Copy, Default)]
+struct Sent {
+    messages: f64,
+    bytes: f64,
+    /// Of any member of the kind in any one second.
+    most_bytes: f64,
+}
+
+struct Play {
+    server: Sent,
+    voter: Sent,
+    leader: Sent,
+    cpu_percent: f64,
+}
+
+pub fn measure(report: &mut Report, quick: bool) {
+    let sizes: &[usize] = if quick { &QUICK_SIZES } else { &SIZES };
+    let cases: Vec<(usize, Event, &str)> =
+        sizes.iter().flat_map(|size| EVENTS.map(|(event, name)| (*size, event, name))).collect();
+    let plays = abreast(THREADS, 0..cases.len() as u64, |at| {
+        let (size, event, _) = cases[at as usize];
+        play(size, event)
+    });
+    print(report, &cases, &plays);
+    let known: Vec<f64> = abreast(THREADS, 0..sizes.len() as u64, |at| death_known_s(sizes[at as usize]));
+    let memory: Vec<f64> = sizes.iter().map(|size| memory_kb_a_member(*size)).collect();
+    let row =
+        |at: usize| vec![sizes[at].to_string(), format!("{:.0}", memory[at]), format!("{:.1}", known[at])];
+    report.table(
+        "A member in simulation",
+        &["members", "memory KB, its part of the simulation included", "a death known to all after s"],
+        (0..sizes.len()).map(row).collect(),
+    );
+    let quiet = |size: usize| {
+        let at = cases.iter().position(|(of, event, _)| *of == size && *event == Event::Quiet);
+        &plays[at.expect("it was played")]
+    };
+    let (middle, largest) = (quiet(150), quiet(sizes[sizes.len() - 1]));
+    report.at_most("control_bytes_a_second", largest.server.bytes, BYTES_A_SECOND);
+    report.at_most("control_bytes_bend", largest.server.bytes / middle.server.bytes, BEND);
+    report.at_most("control_messages_bend", largest.server.messages / middle.server.messages, BEND);
+    report.figure("leader_bytes_a_second", largest.leader.bytes.round());
+}
+
+fn print(report: &Report, cases: &[(usize, Event, &str)], plays: &[Play]) {
+    let sent = |sent: Sent| {
+        [format!("{:.1}", sent.messages), format!("{:.0}", sent.bytes), format!("{:.0}", sent.most_bytes)]
+    };
+    let row = |((size, _, name), play): (&(usize, Event, &str), &Play)| {
+        let mut row = vec![(*name).to_owned(), size.to_string()];
+        row.extend([play.server, play.voter, play.leader].into_iter().flat_map(sent));
+        row.push(format!("{:.3}", play.cpu_percent));
+        row
+    };
+    report.table(
+        "Control in simulation: sent a second by a server, a voter that follows, the leader (most: of any in any second)",
+        &[
+            "what happens",
+            "members",
+            "server messages",
+            "bytes",
+            "most",
+            "voter messages",
+            "bytes",
+            "most",
+            "leader messages",
+            "bytes",
+            "most",
+            "mean % of a core",
+        ],
+        cases.iter().zip(plays).map(row).collect(),
+    );
+}
+
+fn play(machines: usize, event: Event) -> Play {
+    let mut world = formed(machines);
+    if event == Event::RegionBack {
+        cut_region(&mut world);
+        go(&mut world, 60_000);
+        world.do_fault(&Fault::Mend);
+    }
+    begin(&mut world, event);
+    let seconds = 30;
+    let mut watch = Watch::new(&world);
+    let cpu = proc::own_thread_cpu_ns();
+    for second in 0..seconds {
+        if event == Event::Restarts && second % 2 == 0 {
+            restart(&mut world, VOTERS + second % (machines - VOTERS));
+        }
+        go(&mut world, 1_000);
+        watch.second(&world);
+    }
+    let cpu = Duration::from_nanos(proc::own_thread_cpu_ns() - cpu).as_secs_f64();
+    let cpu_percent = cpu / seconds as f64 / machines as f64 * 100.0;
+    let [server, voter, leader] = watch.kinds.map(|kind| kind.sent());
+    Play { server, voter, leader, cpu_percent }
+}
+
+/// A quiet fleet.
+fn formed(machines: usize) -> World {
+    let mut world = World::new(Shape { machines, voters: VOTERS, zones: ZONES, ..Shape::default() }, 3);
+    world.witness.thorough = false;
+    go(&mut world, FORMED);
+    world
+}
+
+fn go(world: &mut World, span_ms: u64) {
+    let until = world.now + span_ms;
+    world.go(until).expect("no rule of the fleet is broken");
+}
+
+fn begin(world: &mut World, event: Event) {
+    let machines = world.machines.len();
+    match event {
+        Event::Quiet | Event::Restarts | Event::RegionBack => {}
+        Event::RackLost => (machines - RACK..machines).for_each(|one| world.do_fault(&Fault::Kill(one))),
+        Event::ZoneLost => {
+            let zone = leader(world) % ZONES;
+            let lost = (0..machines).filter(|one| one % ZONES == zone);
+            lost.for_each(|one| world.do_fault(&Fault::Kill(one)));
+        }
+        Event::RegionCut => cut_region(world),
+        Event::AllRestarted => (0..machines).for_each(|one| restart(world, one)),
+    }
+}
+
+fn restart(world: &mut World, one: usize) {
+    world.do_fault(&Fault::Kill(one));
+    world.do_fault(&Fault::Start(one));
+}
+
+/// Cuts off the region in which the leader stands.
+fn cut_region(world: &mut World) {
+    let region = |one: usize| one % ZONES / ZONES_OF_A_REGION;
+    let cut = region(leader(world));
+    let side = (0..world.machines.len()).filter(|one| region(*one) == cut).collect();
+    world.do_fault(&Fault::Isolate(side));
+}
+
+fn leader(world: &World) -> usize {
+    world.leader().unwrap_or(0)
+}
+
+/// What members of one kind have sent so far.
+#[derive(Clone, Copy, Default)]
+struct Kind {
+    member_seconds: u64,
+    messages: u64,
+    bytes: u64,
+    most_bytes: u64,
+}
+
+impl Kind {
+    fn sent(self) -> Sent {
+        let each = |count: u64| count as f64 / self.member_seconds.max(1) as f64;
+        Sent { messages: each(self.messages), bytes: each(self.bytes), most_bytes: self.most_bytes as f64 }
+    }
+}
+
+/// Watches what each member sends, second by second.
+struct Watch {
+    before: Vec<(u64, u64)>,
+    /// Servers, voters that follow, the leader.
+    kinds: [Kind; 3],
+}
+
+impl Watch {
+    fn new(world: &World) -> Watch {
+        Watch { before: sent_by_all(world), kinds: [Kind::default(); 3] }
+    }
+
+    /// Counts the second that has just passed. A machine that is dead sends nothing and does not count.
+    fn second(&mut self, world: &World) {
+        let (now, leader) = (sent_by_all(world), world.leader());
+        let here = |one: &usize| world.machines[*one].node.is_some();
+        for one in (0..world.machines.len()).filter(here) {
+            let kind = match one {
+                one if Some(one) == leader => 2,
+                one if one < VOTERS => 1,
+                _ => 0,
+            };
+            let (messages, bytes) = (now[one].0 - self.before[one].0, now[one].1 - self.before[one].1);
+            let kind = &mut self.kinds[kind];
+            kind.member_seconds += 1;
+            kind.messages += messages;
+            kind.bytes += bytes;
+            kind.most_bytes = kind.most_bytes.max(bytes);
+        }
+        self.before = now;
+    }
+}
+
+fn sent_by_all(world: &World) -> Vec<(u64, u64)> {
+    world.machines.iter().map(|machine| machine.sent).collect()
+}
+
+/// How long it takes until every member knows that one has died, s.
+fn death_known_s(machines: usize) -> f64 {
+    let mut world = formed(machines);
+    let (last, died) = (machines - 1, world.now);
+    world.do_fault(&Fault::Kill(last));
+    while !world.all_know_dead(last) && world.now < died + 120_000 {
+        go(&mut world, 100);
+    }
+    (world.now - died) as f64 / 1000.0
+}
+
+/// Memory that this process takes for each member of a simulated fleet, KB: state machines and simulation together.
+fn memory_kb_a_member(machines: usize) -> f64 {
+    let own = std::process::id();
+    let before = process::memory(own);
+    let _world = formed(machines);
+    (process::memory(own) - before) * 1024.0 / machines as f64
+}
--- /dev/null
+++ b/crates/loomflow-measure/src/scale/engine_client.rs
@@ -0,0 +1,73 @@
+//! Requests straight to an engine's stand-in: what the same load takes without a server in between.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc::{Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use loomflow_standins::fresh_id;
+
+/// Where the end of each open run is told, by the run's id.
+type Waiting = Arc<Mutex<HashMap<String, Sender<Instant>>>>;
+
+/// One link to an engine, shared by all who ask.
+pub struct EngineClient {
+    writer: Mutex<TcpStream>,
+    waiting: Waiting,
+}
+
+impl EngineClient {
+    pub fn connect(address: SocketAddr) -> EngineClient {
+        let mut writer = TcpStream::connect(address).expect("the engine");
+        writer.set_nodelay(true).expect("no delay");
+        writer.write_all(b"ATTACH 0\r\n").expect("the engine reads");
+        let (reader, waiting) = (writer.try_clone().expect("a clone"), Waiting::default());
+        let for_reader = waiting.clone();
+        std::thread::spawn(move || read_notices(reader, &for_reader));
+        EngineClient { writer: Mutex::new(writer), waiting }
+    }
+
+    /// Runs one request and gives how long it took.
+    pub fn call(&self, class: &str, body: &[u8], patience: Duration) -> Option<Duration> {
+        let (id, (sender, ended)) = (fresh_id(), channel());
+        self.waiting.lock().expect("waiting").insert(id.clone(), sender);
+        let mut bytes = format!("RUN {id} {class} {}\r\n", body.len()).into_bytes();
+        bytes.extend_from_slice(body);
+        bytes.extend_from_slice(b"\r\n");
+        let asked = Instant::now();
+        self.writer.lock().expect("the link").write_all(&bytes).ok()?;
+        ended.recv_timeout(patience).ok().map(|at| at - asked)
+    }
+}
+
+impl Drop for EngineClient {
+    fn drop(&mut self) {
+        if let Ok(writer) = self.writer.lock() {
+            let _ = writer.shutdown(std::net::Shutdown::Both);
+        }
+    }
+}
+
+/// Reads notices such as `DONE NUMBER ID fine MS SIZE` with their bodies until the link ends.
+fn read_notices(stream: TcpStream, waiting: &Waiting) {
+    let mut reader = BufReader::new(stream);
+    let mut line = String::new();
+    loop {
+        line.clear();
+        if !matches!(reader.read_line(&mut line), Ok(1..)) {
+            return;
+        }
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let ["DONE", _, id, .., size] = words[..] else { continue };
+        let mut body = vec![0; size.parse::<usize>().unwrap_or(0) + 2];
+        if reader.read_exact(&mut body).is_err() {
+            return;
+        }
+        let now = Instant::now();
+        if let Some(sender) = waiting.lock().expect("waiting").remove(id) {
+            let _ = sender.send(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/loomflow-measure/src/scale/requests.rs
@@ -0,0 +1,173 @@
+//! What a server adds to a request and spends on it, beside the same load straight to the engine's stand-in.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use loomflow_standins::{Gateway, World, call, fields, fresh_id};
+
+use super::engine_client::EngineClient;
+use super::load::{self, Latencies};
+use super::{CALLERS, REQUESTS_PER_S, TENANTS, ZONE_LOST, proc, setup};
+use crate::report::Report;
+
+/// Time added to 99 of 100 requests, ms.
+const ADDED_P99_MS: f64 = 1.1;
+/// Threads that make requests: more than are ever open at once.
+const THREADS: usize = 32;
+const PATIENCE: Duration = Duration::from_secs(10);
+const CLASS: &str = "read";
+/// Time between batches that the platform's settings state, ms.
+const PLATFORM_PERIOD_MS: f64 = 5.0;
+
+/// One server under one load.
+struct Case {
+    name: &'static str,
+    size: setup::Size,
+    rate: f64,
+}
+
+struct Row {
+    case: Case,
+    served: Latencies,
+    direct: Latencies,
+    cpu_us: f64,
+    idle_core_percent: f64,
+}
+
+impl Row {
+    /// Time that the server adds within which this part of the requests is answered, ms.
+    fn added_ms(&self, part: f64) -> f64 {
+        self.served.quantile_ms(part) - self.direct.quantile_ms(part)
+    }
+}
+
+fn cases() -> [Case; 4] {
+    let small = setup::Size { connections: 16, tenants: 2, period_ms: 0.0 };
+    let large = setup::Size { connections: CALLERS, tenants: TENANTS, period_ms: 0.0 };
+    let slow = setup::Size { period_ms: PLATFORM_PERIOD_MS, ..large };
+    [
+        Case { name: "16 connections, 2 tenants", size: small, rate: REQUESTS_PER_S },
+        Case { name: "at the target", size: large, rate: REQUESTS_PER_S },
+        Case { name: "at the target, a zone lost", size: large, rate: REQUESTS_PER_S * ZONE_LOST },
+        Case { name: "at the target, Period 5 ms", size: slow, rate: REQUESTS_PER_S },
+    ]
+}
+
+pub fn measure(report: &mut Report, quick: bool, program: &Path) {
+    let turns = if quick { 2 } else { 6 };
+    let span = Duration::from_secs(if quick { 5 } else { 15 });
+    let rows: Vec<Row> = cases().into_iter().map(|case| play(program, case, turns, span)).collect();
+    print(report, &rows);
+    let [small, target, zone_lost, platform] = &rows[..] else { return };
+    report.figure("small_cpu_us", small.cpu_us.round());
+    report.figure("target_cpu_us", target.cpu_us.round());
+    report.at_most("added_p99_ms", target.added_ms(0.99), ADDED_P99_MS);
+    report.at_most("zone_lost_added_p99_ms", zone_lost.added_ms(0.99), ADDED_P99_MS);
+    // The setting itself is longer than the bound: see docs/CAPACITY.md.
+    report.figure("platform_period_added_p99_ms", platform.added_ms(0.99));
+    let unserved = rows.iter().map(|row| row.served.unserved + row.direct.unserved).sum::<usize>();
+    report.at_most("unserved", unserved as f64, 0.0);
+}
+
+fn print(report: &Report, rows: &[Row]) {
+    let row = |row: &Row| {
+        let added = |part| format!("{:.2}", row.added_ms(part));
+        vec![
+            row.case.name.to_owned(),
+            format!("{:.0}", row.case.rate),
+            row.served.served().to_string(),
+            format!("{:.2}", row.direct.quantile_ms(0.5)),
+            format!("{:.2}", row.direct.quantile_ms(0.99)),
+            added(0.5),
+            added(0.99),
+            added(0.999),
+            format!("{:.0}", row.cpu_us),
+            format!("{:.2}", row.idle_core_percent),
+        ]
+    };
+    report.table(
+        "Requests, ms: straight to the engine, and what the server adds",
+        &[
+            "case",
+            "a second",
+            "served",
+            "engine p50",
+            "p99",
+            "added p50",
+            "p99",
+            "p99.9",
+            "CPU us a request",
+            "idle % of a core",
+        ],
+        rows.iter().map(row).collect(),
+    );
+}
+
+/// Plays server and engine in turns, so that what disturbs one disturbs the other.
+fn play(program: &Path, case: Case, turns: usize, span: Duration) -> Row {
+    let server = setup::start(program, case.size);
+    let pid = server.world.pid();
+    let connections = case.size.connections.min(proc::descriptors_allowed());
+    let mut shares = share_out(setup::open_idle(&server.world, connections));
+    let idle_core_percent = idle_core_percent(pid);
+    let engine = setup::engine();
+    let direct_client = EngineClient::connect(engine.address);
+    let (mut served, mut direct, mut cpu_ns) = (Latencies::default(), Latencies::default(), 0);
+    for _ in 0..turns {
+        let before = proc::cpu_ns(pid);
+        served.merge(through_server(&mut shares, &case, span));
+        cpu_ns += proc::cpu_ns(pid) - before;
+        direct.merge(load::play(vec![(); THREADS], case.rate, span, |(), number| {
+            direct_client.call(CLASS, body(number).as_bytes(), PATIENCE)
+        }));
+    }
+    assert_connected(&server.world, connections);
+    let cpu_us = cpu_ns as f64 / 1000.0 / served.served().max(1) as f64;
+    Row { case, served, direct, cpu_us, idle_core_percent }
+}
+
+/// The connections of each thread.
+fn share_out(connections: Vec<Gateway>) -> Vec<Vec<Gateway>> {
+    let mut shares: Vec<Vec<Gateway>> = (0..THREADS).map(|_| Vec::new()).collect();
+    for (at, connection) in connections.into_iter().enumerate() {
+        shares[at % THREADS].push(connection);
+    }
+    shares.retain(|share| !share.is_empty());
+    shares
+}
+
+/// The figures mean nothing if the server has closed connections meanwhile.
+fn assert_connected(world: &World, connections: usize) {
+    assert!(world.descriptors() >= connections, "the server has closed connections: {}", world.log());
+}
+
+fn through_server(shares: &mut [Vec<Gateway>], case: &Case, span: Duration) -> Latencies {
+    let tenants = case.size.tenants;
+    load::play(shares.iter_mut().collect(), case.rate, span, |share, number| {
+        let at = number % share.len();
+        ask(&mut share[at], number, tenants)
+    })
+}
+
+/// Makes one request for a tenant drawn by its number, and gives how long it took if it was served.
+fn ask(gateway: &mut Gateway, number: usize, tenants: usize) -> Option<Duration> {
+    let tenant = setup::tenant_name(fastrand::Rng::with_seed(number as u64).usize(0..tenants));
+    let fields = fields(&fresh_id()).replace("owner=acme", &format!("owner={tenant}"));
+    let tag = number as u64 + 2;
+    let bytes = call(tag, CLASS, &fields, body(number).as_bytes());
+    let asked = Instant::now();
+    gateway.send(&bytes);
+    let answer = gateway.next(PATIENCE).ok()??;
+    (answer.word == "OK" && answer.tag == tag).then(|| asked.elapsed())
+}
+
+fn body(number: usize) -> String {
+    format!("request {number}")
+}
+
+/// Part of a core that the server takes while nobody asks, percent.
+fn idle_core_percent(pid: u32) -> f64 {
+    let (before, began) = (proc::cpu_ns(pid), Instant::now());
+    std::thread::sleep(Duration::from_secs(2));
+    (proc::cpu_ns(pid) - before) as f64 / began.elapsed().as_nanos() as f64 * 100.0
+}
--- /dev/null
+++ b/crates/loomflow-measure/src/scale/setup.rs
@@ -0,0 +1,76 @@
+//! Servers of a given size among stand-ins.
+
+use std::path::Path;
+use std::time::Duration;
+
+use loomflow_standins::{Gateway, Worker, World, health, site};
+use serde_json::{Value, json};
+
+/// A request's whole time, ms: far beyond anything here.
+const HARD_LIMIT_MS: f64 = 20_000.0;
+/// Connections are kept for longer than a measurement takes, ms.
+const IDLE_MS: f64 = 3_600_000.0;
+/// The engine's cores and the time of one run.
+const ENGINE_CORES: usize = 4;
+const RUN: Duration = Duration::from_millis(2);
+
+/// Size of a server's surroundings.
+#[derive(Clone, Copy)]
+pub struct Size {
+    pub connections: usize,
+    pub tenants: usize,
+    /// Time between two batches, ms (`settings.Period`).
+    pub period_ms: f64,
+}
+
+/// A server that serves, and the engine that it sends its runs to.
+pub struct Server {
+    pub world: World,
+    _worker: Worker,
+}
+
+/// The stand-in of an engine, as every server here has one.
+pub fn engine() -> Worker {
+    Worker::start(ENGINE_CORES, RUN)
+}
+
+/// Starts a server of that size.
+pub fn start(program: &Path, size: Size) -> Server {
+    let worker = engine();
+    let mut world = World::new(site(HARD_LIMIT_MS));
+    world.program = program.to_owned();
+    world.config["limits"]["sockets"] = sockets_for(size.connections).into();
+    world.config["settings"]["Domain"]["Idle"] = IDLE_MS.into();
+    world.config["settings"]["Period"] = size.period_ms.into();
+    world.config["settings"]["Orgs"] = tenants(size.tenants);
+    world.work_with(&worker);
+    Server { world, _worker: worker }
+}
+
+/// So many tenants, the first of which is the one that the stand-ins ask for.
+pub fn tenants(count: usize) -> Value {
+    (0..count).map(|at| json!({"Name": tenant_name(at), "QuotaPerS": 4.0})).collect()
+}
+
+pub fn tenant_name(at: usize) -> String {
+    if at == 0 { "acme".into() } else { format!("tenant-{at:05}") }
+}
+
+/// `limits.sockets` with which a server keeps so many idle connections: it closes the longest idle beyond three quarters
+/// of what is left after an eighth for the ledger and 24 for itself.
+pub fn sockets_for(connections: usize) -> usize {
+    let spare = 64;
+    let gateways = (connections + spare) * 4 / 3;
+    (gateways + 24) * 8 / 7 + 8
+}
+
+/// Opens connections that have asked once whether the server is well, so that it keeps them.
+pub fn open_idle(world: &World, count: usize) -> Vec<Gateway> {
+    let open = |_| {
+        let mut gateway = world.gateway();
+        gateway.send(&health(1, false));
+        assert_eq!(gateway.answer().word, "UP");
+        gateway
+    };
+    (0..count).map(open).collect()
+}
