--- a/crates/loomflow-settings/src/site.rs
+++ b/crates/loomflow-settings/src/site.rs
@@ -7,6 +7,9 @@
 use crate::read::{Node, Read};
 use crate::tenants::Tenants;
 
+#[cfg(test)]
+mod tests;
+
 /// The module's settings, and what only a front needs: names by index, and the order of the gauges.
 #[derive(Clone, Debug)]
 pub struct Site {
