--- a/crates/loomflow-measure/src/scale/control.rs
+++ b/crates/loomflow-measure/src/scale/control.rs
@@ -3,7 +3,8 @@
 
 use std::time::Duration;
 
-use loomflow_simulation::{Fault, Shape, World, abreast};
+use loomflow_simulation::machine::Traffic;
+use loomflow_simulation::{Fault, Simulation, SimulationConfig, run_parallel};
 
 use super::proc;
 use crate::process;
@@ -70,12 +71,13 @@
         sizes.iter().flat_map(|size| EVENTS.map(|(event, name)| (*size, event, name))).collect();
     // First, so that nothing that was given back meanwhile is used again.
     let memory_kb = memory_kb_a_member(sizes[sizes.len() - 1]);
-    let plays = abreast(THREADS, 0..cases.len() as u64, |at| {
+    let plays = run_parallel(THREADS, 0..cases.len() as u64, |at| {
         let (size, event, _) = cases[at as usize];
         play(size, event)
     });
     print(report, &cases, &plays);
-    let known: Vec<f64> = abreast(THREADS, 0..sizes.len() as u64, |at| death_known_s(sizes[at as usize]));
+    let known: Vec<f64> =
+        run_parallel(THREADS, 0..sizes.len() as u64, |at| death_known_s(sizes[at as usize]));
     let rows = sizes.iter().zip(&known).map(|(size, known)| vec![size.to_string(), format!("{known:.1}")]);
     report.table("A death in simulation", &["members", "known to all after s"], rows.collect());
     let quiet = |size: usize| {
@@ -121,22 +123,22 @@
 }
 
 fn play(machines: usize, event: Event) -> Play {
-    let mut world = formed(machines);
+    let mut simulation = formed(machines);
     if event == Event::RegionBack {
-        cut_region(&mut world);
-        go(&mut world, 60_000);
-        world.do_fault(&Fault::Mend);
+        cut_region(&mut simulation);
+        go(&mut simulation, 60_000);
+        simulation.inject(&Fault::HealNetwork);
     }
-    begin(&mut world, event);
+    begin(&mut simulation, event);
     let seconds = 30;
-    let mut watch = Watch::new(&world);
+    let mut watch = Watch::new(&simulation);
     let cpu = proc::own_thread_cpu_ns();
     for second in 0..seconds {
         if event == Event::Restarts && second % 2 == 0 {
-            restart(&mut world, VOTERS + second % (machines - VOTERS));
+            restart(&mut simulation, VOTERS + second % (machines - VOTERS));
         }
-        go(&mut world, 1_000);
-        watch.second(&world);
+        go(&mut simulation, 1_000);
+        watch.second(&simulation);
     }
     let cpu = Duration::from_nanos(proc::own_thread_cpu_ns() - cpu).as_secs_f64();
     let cpu_percent = cpu / seconds as f64 / machines as f64 * 100.0;
@@ -145,48 +147,51 @@
 }
 
 /// A quiet fleet.
-fn formed(machines: usize) -> World {
-    let mut world = World::new(Shape { machines, voters: VOTERS, zones: ZONES, ..Shape::default() }, 3);
-    world.witness.thorough = false;
-    go(&mut world, FORMED);
-    world
+fn formed(machines: usize) -> Simulation {
+    let mut simulation = Simulation::new(
+        SimulationConfig { machines, voters: VOTERS, zones: ZONES, ..SimulationConfig::default() },
+        3,
+    );
+    simulation.invariants.compares_states = false;
+    go(&mut simulation, FORMED);
+    simulation
 }
 
-fn go(world: &mut World, span_ms: u64) {
-    let until = world.now + span_ms;
-    world.go(until).expect("no rule of the fleet is broken");
+fn go(simulation: &mut Simulation, span_ms: u64) {
+    let until = simulation.now + span_ms;
+    simulation.run_until(until).expect("no rule of the fleet is broken");
 }
 
-fn begin(world: &mut World, event: Event) {
-    let machines = world.machines.len();
+fn begin(simulation: &mut Simulation, event: Event) {
+    let machines = simulation.machines.len();
     match event {
         Event::Quiet | Event::Restarts | Event::RegionBack => {}
-        Event::RackLost => (machines - RACK..machines).for_each(|one| world.do_fault(&Fault::Kill(one))),
+        Event::RackLost => (machines - RACK..machines).for_each(|one| simulation.inject(&Fault::Kill(one))),
         Event::ZoneLost => {
-            let zone = leader(world) % ZONES;
+            let zone = leader(simulation) % ZONES;
             let lost = (0..machines).filter(|one| one % ZONES == zone);
-            lost.for_each(|one| world.do_fault(&Fault::Kill(one)));
+            lost.for_each(|one| simulation.inject(&Fault::Kill(one)));
         }
-        Event::RegionCut => cut_region(world),
-        Event::AllRestarted => (0..machines).for_each(|one| restart(world, one)),
+        Event::RegionCut => cut_region(simulation),
+        Event::AllRestarted => (0..machines).for_each(|one| restart(simulation, one)),
     }
 }
 
-fn restart(world: &mut World, one: usize) {
-    world.do_fault(&Fault::Kill(one));
-    world.do_fault(&Fault::Start(one));
+fn restart(simulation: &mut Simulation, one: usize) {
+    simulation.inject(&Fault::Kill(one));
+    simulation.inject(&Fault::Start(one));
 }
 
 /// Cuts off the region in which the leader stands.
-fn cut_region(world: &mut World) {
+fn cut_region(simulation: &mut Simulation) {
     let region = |one: usize| one % ZONES / ZONES_OF_A_REGION;
-    let cut = region(leader(world));
-    let side = (0..world.machines.len()).filter(|one| region(*one) == cut).collect();
-    world.do_fault(&Fault::Isolate(side));
+    let cut = region(leader(simulation));
+    let side = (0..simulation.machines.len()).filter(|one| region(*one) == cut).collect();
+    simulation.inject(&Fault::Isolate(side));
 }
 
-fn leader(world: &World) -> usize {
-    world.leader().unwrap_or(0)
+fn leader(simulation: &Simulation) -> usize {
+    simulation.leader().unwrap_or(0)
 }
 
 /// What members of one kind have sent so far.
@@ -207,27 +212,28 @@
 
 /// Watches what each member sends, second by second.
 struct Watch {
-    before: Vec<(u64, u64)>,
+    before: Vec<Traffic>,
     /// Servers, voters that follow, the leader.
     kinds: [Kind; 3],
 }
 
 impl Watch {
-    fn new(world: &World) -> Watch {
-        Watch { before: sent_by_all(world), kinds: [Kind::default(); 3] }
+    fn new(simulation: &Simulation) -> Watch {
+        Watch { before: sent_by_all(simulation), kinds: [Kind::default(); 3] }
     }
 
     /// Counts the second that has just passed. A machine that is dead sends nothing and does not count.
-    fn second(&mut self, world: &World) {
-        let (now, leader) = (sent_by_all(world), world.leader());
-        let here = |one: &usize| world.machines[*one].node.is_some();
-        for one in (0..world.machines.len()).filter(here) {
+    fn second(&mut self, simulation: &Simulation) {
+        let (now, leader) = (sent_by_all(simulation), simulation.leader());
+        let here = |one: &usize| simulation.machines[*one].node.is_some();
+        for one in (0..simulation.machines.len()).filter(here) {
             let kind = match one {
                 one if Some(one) == leader => 2,
                 one if one < VOTERS => 1,
                 _ => 0,
             };
-            let (messages, bytes) = (now[one].0 - self.before[one].0, now[one].1 - self.before[one].1);
+            let messages = now[one].messages - self.before[one].messages;
+            let bytes = now[one].bytes - self.before[one].bytes;
             let kind = &mut self.kinds[kind];
             kind.member_seconds += 1;
             kind.messages += messages;
@@ -238,19 +244,19 @@
     }
 }
 
-fn sent_by_all(world: &World) -> Vec<(u64, u64)> {
-    world.machines.iter().map(|machine| machine.sent).collect()
+fn sent_by_all(simulation: &Simulation) -> Vec<Traffic> {
+    simulation.machines.iter().map(|machine| machine.sent).collect()
 }
 
 /// How long it takes until every member knows that one has died, s.
 fn death_known_s(machines: usize) -> f64 {
-    let mut world = formed(machines);
-    let (last, died) = (machines - 1, world.now);
-    world.do_fault(&Fault::Kill(last));
-    while !world.all_know_dead(last) && world.now < died + 120_000 {
-        go(&mut world, 100);
+    let mut simulation = formed(machines);
+    let (last, died) = (machines - 1, simulation.now);
+    simulation.inject(&Fault::Kill(last));
+    while !simulation.is_known_dead(last) && simulation.now < died + 120_000 {
+        go(&mut simulation, 100);
     }
-    (world.now - died) as f64 / 1000.0
+    (simulation.now - died) as f64 / 1000.0
 }
 
 /// Memory that this process takes for each member of a simulated fleet, KB: state machines and simulation together.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -260,7 +260,7 @@
         if self.next_beat == f64::NEG_INFINITY {
             // Stored answers keep checks cheap; that a process answers at all is the rest of the news.
             out.push(Action::Health { good: true, stored: true });
-            // A cold server's first answer tells its part of the speed: who has heard nothing takes it for warm.
+            // A cold server's first answer tells its part of the speed: who has heard nothing acts as at 1.
             self.tell_change(out);
         }
         if now >= self.next_beat {
