Simulation's tests of duties ask for the leader's state by the query that exists

The same chain over the leader's node stood three times in tests/duties.rs beside Simulation::leader_state, which does just that.

--- a/crates/loomflow-simulation/tests/duties.rs
+++ b/crates/loomflow-simulation/tests/duties.rs
@@ -65,24 +65,10 @@
     let before = all_owned(&simulation);
     let each: BTreeSet<usize> = before.iter().copied().collect();
     assert!(each.len() >= 4, "{before:?}");
-    let token = simulation.machines[simulation.leader().unwrap()]
-        .node
-        .as_ref()
-        .unwrap()
-        .fleet_state()
-        .unwrap()
-        .duties
-        .last_token();
+    let token = simulation.leader_state().unwrap().duties.last_token();
     go(&mut simulation, 30_000 + 600_000);
     assert_eq!(all_owned(&simulation), before);
-    let after = simulation.machines[simulation.leader().unwrap()]
-        .node
-        .as_ref()
-        .unwrap()
-        .fleet_state()
-        .unwrap()
-        .duties
-        .last_token();
+    let after = simulation.leader_state().unwrap().duties.last_token();
     assert_eq!(after, token, "moves on a quiet day");
 }
 
@@ -272,8 +258,7 @@
     }
     go(&mut simulation, 120_000);
     assert!(simulation.owners("d1").is_empty());
-    let record =
-        simulation.machines[simulation.leader().unwrap()].node.as_ref().unwrap().fleet_state().unwrap();
+    let record = simulation.leader_state().unwrap();
     let parked = record.duties.duties()["d1"].parked.clone().unwrap();
     assert!(parked.contains("was lost while it owned it"), "{parked}");
     owner(&simulation, 0);
