--- /dev/null
+++ b/review/stand-ins-2/src/main.rs
@@ -0,0 +1,27 @@
+//! Plays one case of the review: `review-2 CASE FOLDER`, from the root of the repository.
+
+mod base;
+mod cases;
+mod engine;
+mod fleet;
+
+use std::path::Path;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, case, folder] = &arguments[..] else {
+        eprintln!("usage: review-2 CASE FOLDER");
+        std::process::exit(base::NOT_PLAYED);
+    };
+    base::begin(Path::new(folder));
+    base::note(&format!("case {case}, TROUBLE={}", u8::from(base::has_trouble())));
+    let code = match case.as_str() {
+        "too-large" => cases::too_large::play(),
+        "finished-run" => cases::finished_run::play(),
+        "two-owners" => cases::two_owners::play(),
+        "window" => cases::window::play(),
+        "outage" => cases::outage::play(),
+        _ => base::NOT_PLAYED,
+    };
+    base::end(code);
+}
