Review case 10: a duty is deaf after a request for a run during a run

Cause: an independent review. A request for a run that is committed while another run is under way is taken for begun, and so is every later one.

The program is unchanged.

--- a/review/stand-ins-2/src/base.rs
+++ b/review/stand-ins-2/src/base.rs
@@ -4,8 +4,8 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
+use std::process::{Child, ChildStdin, ChildStdout, Command, Stdio};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 /// The case was played and the rule held.
@@ -19,7 +19,7 @@
     started_at: Instant,
     record: Mutex<File>,
     folder: PathBuf,
-    pids: Mutex<Vec<u32>>,
+    processes: Mutex<Vec<Process>>,
 }
 
 static SHARED: OnceLock<Shared> = OnceLock::new();
@@ -41,7 +41,7 @@
         started_at: Instant::now(),
         record: Mutex::new(record),
         folder,
-        pids: Mutex::new(Vec::new()),
+        processes: Mutex::new(Vec::new()),
     };
     assert!(SHARED.set(shared).is_ok());
     std::panic::set_hook(Box::new(|panic| {
@@ -75,13 +75,16 @@
 /// Ends all processes that the case started, and then the case.
 pub fn end(code: i32) -> ! {
     note(&format!("exit code {code}"));
-    for pid in locked(&shared().pids).drain(..) {
-        signal(pid, "KILL");
+    for process in locked(&shared().processes).drain(..) {
+        process.kill();
     }
     // Programs of jobs are not children of the case: each writes its process id to a file.
     for pid in fs::read_to_string(folder().join("job-pids")).unwrap_or_default().lines() {
         if let Ok(pid) = pid.trim().parse::<u32>() {
-            if fs::read_to_string(format!("/proc/{pid}/cmdline")).unwrap_or_default().contains("job.sh") {
+            if fs::read_to_string(format!("/proc/{pid}/cmdline"))
+                .unwrap_or_default()
+                .contains(&folder().join("job.sh").display().to_string())
+            {
                 signal(pid, "KILL");
             }
         }
@@ -92,20 +95,54 @@
 }
 
 /// Sends a signal to a process.
-pub fn signal(pid: u32, name: &str) {
+fn signal(pid: u32, name: &str) {
     let _ =
         Command::new("/bin/sh").args(["-c", &format!("kill -{name} {pid}")]).stderr(Stdio::null()).status();
 }
 
-/// Starts a process that ends with the case at the latest.
-pub fn spawn(command: &mut Command) -> Child {
-    let child = command.spawn().expect("the process starts");
-    locked(&shared().pids).push(child.id());
-    child
+/// A process that the case started. Its id stays its own until the process was waited for.
+#[derive(Clone)]
+pub struct Process(Arc<Mutex<Child>>);
+
+impl Process {
+    /// Starts a process that ends with the case at the latest.
+    pub fn spawn(command: &mut Command) -> Process {
+        let process = Process(Arc::new(Mutex::new(command.spawn().expect("the process starts"))));
+        locked(&shared().processes).push(process.clone());
+        process
+    }
+
+    /// Sends a signal, unless the process has ended.
+    pub fn signal(&self, name: &str) {
+        let mut child = locked(&self.0);
+        if matches!(child.try_wait(), Ok(None)) {
+            signal(child.id(), name);
+        }
+    }
+
+    /// Kills the process, unless it has ended, and waits for its end.
+    pub fn kill(&self) {
+        let mut child = locked(&self.0);
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+
+    /// Whether the process has not ended.
+    pub fn runs(&self) -> bool {
+        matches!(locked(&self.0).try_wait(), Ok(None))
+    }
+
+    pub fn stdin(&self) -> ChildStdin {
+        locked(&self.0).stdin.take().expect("standard input is piped")
+    }
+
+    pub fn stdout(&self) -> ChildStdout {
+        locked(&self.0).stdout.take().expect("standard output is piped")
+    }
 }
 
 /// Starts a server by the command of the deploy file; its log goes to a file.
-pub fn serve(name: &str, config: &Path, options: Option<&Path>) -> Child {
+pub fn serve(name: &str, config: &Path, options: Option<&Path>) -> Process {
     let log = OpenOptions::new().create(true).append(true).open(folder().join(format!("{name}.log")));
     let log = log.expect("the log file opens");
     let mut command = Command::new("/bin/sh");
@@ -118,7 +155,7 @@
     if let Some(options) = options {
         command.env("LOOMFLOW_OPTIONS", options);
     }
-    spawn(&mut command)
+    Process::spawn(&mut command)
 }
 
 /// The log of a server.
--- a/review/stand-ins-2/src/cases/finished_run.rs
+++ b/review/stand-ins-2/src/cases/finished_run.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::base::{self, BROKEN, HELD, has_trouble, need, note, pause, wait};
+use crate::base::{BROKEN, HELD, has_trouble, need, note, pause, wait};
 use crate::fleet::{Fleet, lines_of, note_job};
 
 pub fn play() -> i32 {
@@ -12,7 +12,7 @@
     let observer = (owner + 1) % 3;
     if has_trouble() {
         pause(1000);
-        base::signal(fleet.pid(owner), "TERM");
+        fleet.members[owner].process.signal("TERM");
         note(&format!("{} is told to drain (SIGTERM)", fleet.members[owner].name));
     }
     need("the job has ended with success", Duration::from_secs(10), || !lines_of("done").is_empty());
--- a/review/stand-ins-2/src/cases/too_large.rs
+++ b/review/stand-ins-2/src/cases/too_large.rs
@@ -6,7 +6,7 @@
 use std::sync::mpsc::channel;
 use std::time::Duration;
 
-use crate::base::{self, BROKEN, HELD, NOT_PLAYED, folder, has_trouble, need, note, pause, serve, spawn};
+use crate::base::{self, BROKEN, HELD, NOT_PLAYED, Process, folder, has_trouble, need, note, pause, serve};
 
 /// The default of `max_message_bytes`.
 const LIMIT: usize = 65_536;
@@ -15,9 +15,9 @@
     let directory = folder().join("site");
     let mut command = Command::new("target/release/test-servers");
     command.arg(&directory).stdin(Stdio::piped()).stdout(Stdio::piped());
-    let mut servers = spawn(&mut command);
-    let mut input = servers.stdin.take().expect("standard input is piped");
-    let output = servers.stdout.take().expect("standard output is piped");
+    let servers = Process::spawn(&mut command);
+    let mut input = servers.stdin();
+    let output = servers.stdout();
     let (sender, lines) = channel();
     std::thread::spawn(move || {
         for line in BufReader::new(output).lines().map_while(Result::ok) {
--- a/review/stand-ins-2/src/cases/window.rs
+++ b/review/stand-ins-2/src/cases/window.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crate::base::{self, BROKEN, HELD, NOT_PLAYED, has_trouble, need, note, pause, serve, settings, signal};
+use crate::base::{self, BROKEN, HELD, NOT_PLAYED, has_trouble, need, note, pause, serve, settings};
 use crate::engine::Engine;
 
 const SHORT_WINDOW_MS: u32 = 4_000;
@@ -60,7 +60,7 @@
     if has_trouble() {
         pause(500);
         base::write("n1.json", &text(LONG_WINDOW_MS));
-        signal(server.id(), "HUP");
+        server.signal("HUP");
         note(&format!("new configuration with a Window of {LONG_WINDOW_MS} ms, SIGHUP"));
         need("the new configuration is in use", Duration::from_secs(3), || {
             base::log_of("n1").contains("the configuration was reloaded")
--- a/review/stand-ins-2/src/fleet.rs
+++ b/review/stand-ins-2/src/fleet.rs
@@ -3,10 +3,10 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::time::Duration;
 
-use crate::base::{self, config, folder, free_address, need, note, serve, settings, signal};
+use crate::base::{self, Process, config, folder, free_address, need, note, serve, settings};
 use crate::engine::Engine;
 
 pub struct Member {
@@ -14,7 +14,7 @@
     engine: Engine,
     config: PathBuf,
     pub options: PathBuf,
-    child: Child,
+    pub process: Process,
 }
 
 pub struct Fleet {
@@ -61,15 +61,16 @@
                 let text = config(&name, free_address(), engine.address, stop_ms, &settings(5000, 10_000));
                 let config = base::write(&format!("{name}.json"), &text);
                 let options = format!(
-                    "fleet:\n  name: review\n  zone: z{}\n  listen: {address}\n  state: {}\n  warm_for_s: 2\n  voters:\n{voters}  \
+                    "fleet:\n  name: review-{}\n  zone: z{}\n  listen: {address}\n  state: {}\n  warm_for_s: 2\n  voters:\n{voters}  \
                      duties:\n    lease_s: {lease_s}\n    programs: true\n    jobs:\n      - name: filing\n        run: [sh, {}]\n",
+                    std::process::id(),
                     index + 1,
                     folder().join(&name).display(),
                     job.display()
                 );
                 let options = base::write(&format!("{name}.yaml"), &options);
-                let child = serve(&name, &config, Some(&options));
-                Member { name, engine, config, options, child }
+                let process = serve(&name, &config, Some(&options));
+                Member { name, engine, config, options, process }
             })
             .collect();
         let fleet = Fleet { members };
@@ -123,14 +124,9 @@
         owner
     }
 
-    pub fn pid(&self, member: usize) -> u32 {
-        self.members[member].child.id()
-    }
-
     /// Kills a server outright.
-    pub fn kill(&mut self, member: usize) {
-        signal(self.pid(member), "KILL");
-        let _ = self.members[member].child.wait();
+    pub fn kill(&self, member: usize) {
+        self.members[member].process.kill();
         note(&format!("{} is killed (SIGKILL)", self.members[member].name));
     }
 
@@ -138,7 +134,7 @@
     pub fn restart(&mut self, member: usize) {
         let member = &mut self.members[member];
         member.engine.restarted();
-        member.child = serve(&member.name, &member.config, Some(&member.options));
+        member.process = serve(&member.name, &member.config, Some(&member.options));
         note(&format!("{} is started again", member.name));
     }
 
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -4,6 +4,7 @@
 mod cases;
 mod engine;
 mod fleet;
+mod relay;
 
 use std::path::Path;
 
@@ -16,7 +17,9 @@
     base::begin(Path::new(folder));
     base::note(&format!("case {case}, TROUBLE={}", u8::from(base::has_trouble())));
     let code = match case.as_str() {
+        "start-again" => cases::start_again::play(),
         "too-large" => cases::too_large::play(),
+        "drained" => cases::drained::play(),
         "finished-run" => cases::finished_run::play(),
         "two-owners" => cases::two_owners::play(),
         "window" => cases::window::play(),
