--- a/review/stand-ins-2/broker/src/main.rs
+++ b/review/stand-ins-2/broker/src/main.rs
@@ -24,7 +24,8 @@
     let directory = Path::new(&directory);
     std::fs::create_dir_all(directory).expect("the directory is created");
     let engine = AutonomousEngine::start(4, Duration::from_millis(10));
-    let broker = Broker::start();
+    // No heartbeats, as the test broker sends none.
+    let broker = Broker::with_limits(0, 128 * 1024, 2047);
     broker.declare("replies");
     broker.declare("dead");
     broker.with_state(|state| state.declare("jobs", Some(("", "dead"))));
