--- a/review/stand-ins-2/src/base.rs
+++ b/review/stand-ins-2/src/base.rs
@@ -128,6 +128,11 @@
         let _ = child.wait();
     }
 
+    /// Waits for the end of the process; its exit code.
+    pub fn code(&self) -> Option<i32> {
+        locked(&self.0).wait().ok()?.code()
+    }
+
     /// Whether the process has not ended.
     pub fn runs(&self) -> bool {
         matches!(locked(&self.0).try_wait(), Ok(None))
--- a/review/stand-ins-2/src/cases/drained.rs
+++ b/review/stand-ins-2/src/cases/drained.rs
@@ -123,16 +123,17 @@
     note(&format!("operator on n1: fleet work ask --server n2: exit code {code}, {}", text.trim()));
     let asked_at = Instant::now();
     let (sender, waited) = channel();
-    let options = members[0].options.clone();
+    let mut command_line = Command::new("target/release/loomflow");
+    command_line
+        .args(["fleet", "work", "wait", "--server", "n2", "--timeout", "1m"])
+        .env("LOOMFLOW_OPTIONS", &members[0].options)
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped());
+    let waiting = Process::spawn(&mut command_line);
     std::thread::spawn(move || {
-        let output = Command::new("target/release/loomflow")
-            .args(["fleet", "work", "wait", "--server", "n2", "--timeout", "1m"])
-            .env("LOOMFLOW_OPTIONS", options)
-            .stdin(Stdio::null())
-            .output()
-            .expect("the command starts");
-        let _ =
-            sender.send((output.status.code(), String::from_utf8_lossy(&output.stdout).trim().to_owned()));
+        let mut text = String::new();
+        let _ = waiting.stdout().read_to_string(&mut text);
+        let _ = sender.send((waiting.code(), text.trim().to_owned()));
     });
     need("n2 drains", Duration::from_secs(20), || base::log_of("n2").contains("draining this server"));
     note("n2 drains for its ticket");
@@ -148,6 +149,8 @@
         });
     }
     let Ok((code, text)) = waited.recv_timeout(Duration::from_secs(60)) else { return NOT_PLAYED };
+    // What n2 has written by then is read.
+    pause(300);
     let answers: Vec<Option<String>> = answers.iter().map(|answer| answer.try_recv().ok()).collect();
     note(&format!("answers so far: {answers:?}"));
     let answered = answers.iter().flatten().filter(|answer| answer.starts_with("OK")).count();
