Log why a server takes the work of a duty for ended when it releases it

Cause: a release left no line in the log, so a duty given up too early could not be told from one whose process had reported its end, or whose run's process had been reaped. Change: the line `the duty is released` with `duty` and `why`, one reason for each path that releases.

--- a/crates/loomflow-server/src/fleet/driver.rs
+++ b/crates/loomflow-server/src/fleet/driver.rs
@@ -178,7 +178,7 @@
             Ok(OperatorRequest::Recover) => to_response(self.node.recover(now)),
             Ok(OperatorRequest::CheckOwnership(duty)) => self.check_ownership(&duty, now),
             Ok(OperatorRequest::WorkEnded(duty)) => {
-                self.jobs.external_work_ended(&duty, &mut self.node, now);
+                self.jobs.external_work_ended(&duty, "its process has reported its end", &mut self.node, now);
                 OperatorResponse::Done
             }
         };
--- a/crates/loomflow-server/src/fleet/jobs.rs
+++ b/crates/loomflow-server/src/fleet/jobs.rs
@@ -98,7 +98,7 @@
             OwnershipChange::ReleaseRequested(duty, _) => {
                 let last_seen = self.external_work.get(&duty);
                 if last_seen.is_none_or(|at| now > at + EXTERNAL_WORK_TIMEOUT_MILLIS) {
-                    node.release(&duty, now);
+                    release(&duty, "no process does its work", node, now);
                 }
             }
             OwnershipChange::Lost(duty, _) => drop(self.external_work.remove(&duty)),
@@ -123,10 +123,16 @@
     }
 
     /// Handles the end of an external process that did a duty's work: releases the duty if that was requested.
-    pub fn external_work_ended(&mut self, duty: &str, node: &mut Node, now: IntegerMillis) {
+    pub fn external_work_ended(
+        &mut self,
+        duty: &str,
+        reason: &'static str,
+        node: &mut Node,
+        now: IntegerMillis,
+    ) {
         self.external_work.remove(duty);
         if node.session_duty(duty).is_some_and(|owned| owned.is_recalled) {
-            node.release(duty, now);
+            release(duty, reason, node, now);
         }
     }
 
@@ -168,7 +174,7 @@
         let timed_out = self.external_work.iter().filter(|(_, at)| is_timed_out(**at));
         let timed_out: Vec<DutyName> = timed_out.map(|(duty, _)| duty.clone()).collect();
         for duty in timed_out {
-            self.external_work_ended(&duty, node, now);
+            self.external_work_ended(&duty, "its process has stopped querying ownership", node, now);
         }
     }
 
@@ -223,7 +229,7 @@
             }
             Some(JobAction::Release) => {
                 self.owned.remove(duty);
-                node.release(duty, now);
+                release(duty, "the process of its run has ended", node, now);
             }
         }
     }
@@ -258,6 +264,12 @@
     node.owned_token(duty, now).and_then(|_| node.session_duty(duty)).cloned()
 }
 
+/// Releases a duty and logs why its work counts as ended.
+fn release(duty: &str, reason: &'static str, node: &mut Node, now: IntegerMillis) {
+    log!(part = "fleet", duty, why = reason, "the duty is released");
+    node.release(duty, now);
+}
+
 fn exit_reason(status: ExitStatus) -> Exit {
     let has_code = |code: u8| status.code() == Some(i32::from(code));
     if status.success() {
