Release a duty only when all work on it is known to have ended

Cause: the server took the work for ended when its process had not asked for the ownership for 2 s; `duty run` asks ten times a lease, less often than that with any lease over 20 s. The report of one process also ended the work of another. Evidence: the owner logged `why="its process has stopped querying ownership"` while the run's process was alive. Change: `duty::workers` keeps each process that ownership was confirmed to, by the id of the socket's peer. It ends by its own report, when reaped, or when the ownership confirmed to it expires, before which its supervisor has killed the work.

--- a/crates/loomflow-fleet-commands/src/job_process.rs
+++ b/crates/loomflow-fleet-commands/src/job_process.rs
@@ -59,6 +59,8 @@
         signal_hook::flag::register(signal, stop_requested.clone())?;
     }
     let Some(ownership) = wait_for_ownership(socket, options, &stop_requested)? else {
+        // The server may have recorded this process, under another token than the required one.
+        let _ = call(socket, &OperatorRequest::WorkEnded(options.duty.clone()));
         eprintln!("loomflow: {}: this server does not own the duty", options.duty);
         return Ok(ExitCode::from(exit_code::NEVER_OWNED));
     };
--- a/crates/loomflow-fleet/src/duty/mod.rs
+++ b/crates/loomflow-fleet/src/duty/mod.rs
@@ -8,6 +8,7 @@
 //! - `attempts`: parks a duty after repeated failures.
 //! - [`job`]: the operators' jobs: when a run begins, and what is recorded about it.
 //! - [`supervisor`]: when the process of a run has to end.
+//! - [`workers`]: which processes may still be doing the work of a duty.
 //! - [`schedule`]: when a scheduled duty is due, and how missed runs are handled.
 //! - [`summary`]: the duty that aggregates the load of the fleet.
 //!
@@ -33,6 +34,7 @@
 pub mod state;
 pub mod summary;
 pub mod supervisor;
+pub mod workers;
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/loomflow-fleet/src/operator.rs
+++ b/crates/loomflow-fleet/src/operator.rs
@@ -26,11 +26,11 @@
     Bootstrap,
     /// Recreates the fleet from this voter's data directory.
     Recover,
-    /// Queries whether this server owns a duty. The process that does the duty's work sends it periodically:
-    /// it counts as running until it sends [`OperatorRequest::WorkEnded`], or its requests stop for too long.
+    /// Queries whether this server owns a duty. The process that does the duty's work sends it periodically: it counts as
+    /// running until it sends [`OperatorRequest::WorkEnded`], or the ownership confirmed to it has expired.
     #[serde(rename = "Owns")]
     CheckOwnership(DutyName),
-    /// Reports that the process that did the duty's work has ended.
+    /// Reports that the work of the process that sends it has ended, or will not begin.
     #[serde(rename = "LetGo")]
     WorkEnded(DutyName),
 }
--- a/crates/loomflow-server/src/fleet/driver.rs
+++ b/crates/loomflow-server/src/fleet/driver.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use loomflow_boot_clock::boot_millis;
+use loomflow_fleet::duty::workers::WorkerId;
 use loomflow_fleet::node::{BootstrapError, Effect, Node};
 use loomflow_fleet::operator::{OperatorRequest, OperatorResponse, OwnershipConfirmation};
 use loomflow_fleet::time::{IntegerMillis, whole_millis};
@@ -176,9 +177,12 @@
             }
             Ok(OperatorRequest::Bootstrap) => to_response(self.node.bootstrap(now)),
             Ok(OperatorRequest::Recover) => to_response(self.node.recover(now)),
-            Ok(OperatorRequest::CheckOwnership(duty)) => self.check_ownership(&duty, now),
+            Ok(OperatorRequest::CheckOwnership(duty)) => {
+                let worker = self.operators.peer_process(connection);
+                self.check_ownership(&duty, worker, now)
+            }
             Ok(OperatorRequest::WorkEnded(duty)) => {
-                self.jobs.external_work_ended(&duty, "its process has reported its end", &mut self.node, now);
+                self.jobs.work_ended(&duty, self.operators.peer_process(connection));
                 OperatorResponse::Done
             }
         };
@@ -186,14 +190,18 @@
     }
 
     /// Responds to a process on this machine that does a duty's work, and records that it is running.
-    fn check_ownership(&mut self, duty: &str, now: IntegerMillis) -> OperatorResponse {
+    fn check_ownership(&mut self, duty: &str, worker: WorkerId, now: IntegerMillis) -> OperatorResponse {
         let Some(token) = self.node.owned_token(duty, now) else { return OperatorResponse::NotOwned };
-        self.jobs.record_external_work(duty, now);
         let owned = self.node.session_duty(duty);
+        let is_recalled = owned.is_some_and(|owned| owned.is_recalled);
+        let owned_until = self.node.owned_until();
+        if let Err(error) = self.jobs.ownership_confirmed(duty, worker, is_recalled, owned_until) {
+            return OperatorResponse::Error(error.to_string());
+        }
         OperatorResponse::Owned(OwnershipConfirmation {
             token,
-            remaining_millis: self.node.owned_until().saturating_sub(now),
-            is_recalled: owned.is_some_and(|owned| owned.is_recalled),
+            remaining_millis: owned_until.saturating_sub(now),
+            is_recalled,
             lease_settings: self.node.lease_settings(),
             checkpoint: owned.map(|owned| owned.checkpoint.clone()).unwrap_or_default(),
         })
@@ -211,7 +219,7 @@
                         self.operators.deliver(id, &OperatorResponse::Response(response));
                     }
                 }
-                Effect::Duty(change) => self.jobs.ownership_changed(change, &mut self.node, now),
+                Effect::Duty(change) => self.jobs.ownership_changed(change),
                 Effect::Log(text) => log!(part = "fleet", "{text}"),
             }
         }
--- a/crates/loomflow-server/src/fleet/jobs.rs
+++ b/crates/loomflow-server/src/fleet/jobs.rs
@@ -11,6 +11,7 @@
 use loomflow_fleet::command::FleetResponse;
 use loomflow_fleet::duty::client_session::OwnershipChange;
 use loomflow_fleet::duty::job::{Exit, JobAction, JobRuns};
+use loomflow_fleet::duty::workers::{TooManyWorkers, WorkerId, Workers};
 use loomflow_fleet::duty::{DutyName, DutyResponse, OwnedDuty, OwnerUpdate, Token};
 use loomflow_fleet::member::FleetRequestId;
 use loomflow_fleet::node::Node;
@@ -21,10 +22,6 @@
 
 use crate::log;
 
-/// An external process that does a duty's work counts as ended if it has not queried ownership for this time, ms. `duty run`
-/// queries it ten times per lease.
-const EXTERNAL_WORK_TIMEOUT_MILLIS: IntegerMillis = 2_000;
-
 /// Why the process of a run cannot be started; the fleet stores the message as the reason of the failed run.
 #[derive(Debug, thiserror::Error)]
 enum StartError {
@@ -59,8 +56,8 @@
     /// Processes started under a former token that have not ended yet.
     former_children: Vec<Child>,
     pending_writes: BTreeMap<FleetRequestId, PendingWrite>,
-    /// Duties whose work an external process does, with the time of its last ownership query.
-    external_work: BTreeMap<DutyName, IntegerMillis>,
+    /// The processes that may be doing the work of duties: those of runs, and those that others have started.
+    workers: Workers,
     /// The operators' socket, which the processes query.
     socket: PathBuf,
 }
@@ -77,7 +74,7 @@
             owned: BTreeMap::new(),
             former_children: Vec::new(),
             pending_writes: BTreeMap::new(),
-            external_work: BTreeMap::new(),
+            workers: Workers::default(),
             socket: socket.to_owned(),
         }
     }
@@ -88,20 +85,15 @@
     }
 
     /// Handles a duty that was acquired, has to be released, or is lost.
-    pub fn ownership_changed(&mut self, change: OwnershipChange, node: &mut Node, now: IntegerMillis) {
+    pub fn ownership_changed(&mut self, change: OwnershipChange) {
         match change {
             OwnershipChange::Acquired(owned) if self.configured.contains_key(&owned.duty) => {
                 self.acquire(owned);
             }
             OwnershipChange::Acquired(_) => {}
-            OwnershipChange::ReleaseRequested(duty, _) if self.owned.contains_key(&duty) => {}
-            OwnershipChange::ReleaseRequested(duty, _) => {
-                let last_seen = self.external_work.get(&duty);
-                if last_seen.is_none_or(|at| now > at + EXTERNAL_WORK_TIMEOUT_MILLIS) {
-                    release(&duty, "no process does its work", node, now);
-                }
-            }
-            OwnershipChange::Lost(duty, _) => drop(self.external_work.remove(&duty)),
+            // [`Jobs::tick`] releases the duty once its work has ended. The processes of a lost duty detect that by
+            // themselves.
+            OwnershipChange::ReleaseRequested(..) | OwnershipChange::Lost(..) => {}
         }
     }
 
@@ -117,23 +109,24 @@
         }
     }
 
-    /// Records an ownership query of a process that does a duty's work.
-    pub fn record_external_work(&mut self, duty: &str, now: IntegerMillis) {
-        self.external_work.insert(duty.to_owned(), now);
-    }
-
-    /// Handles the end of an external process that did a duty's work: releases the duty if that was requested.
-    pub fn external_work_ended(
+    /// Records that a process is told that this server owns a duty until `owned_until`. `is_recalled` is whether the duty has
+    /// to be released.
+    ///
+    /// # Errors
+    /// Too many processes do the work of the duty.
+    pub fn ownership_confirmed(
         &mut self,
         duty: &str,
-        reason: &'static str,
-        node: &mut Node,
-        now: IntegerMillis,
-    ) {
-        self.external_work.remove(duty);
-        if node.session_duty(duty).is_some_and(|owned| owned.is_recalled) {
-            release(duty, reason, node, now);
-        }
+        worker: WorkerId,
+        is_recalled: bool,
+        owned_until: IntegerMillis,
+    ) -> Result<(), TooManyWorkers> {
+        self.workers.ownership_confirmed(duty, worker, is_recalled, owned_until)
+    }
+
+    /// Handles the report of a process that its work on a duty has ended.
+    pub fn work_ended(&mut self, duty: &str, worker: WorkerId) {
+        self.workers.ended(duty, worker);
     }
 
     /// Handles the response to a write. Returns false if the request `id` is not a write of this module.
@@ -170,11 +163,18 @@
             self.advance(&duty, node, now, unix_time.as_secs());
         }
         self.former_children.retain_mut(|child| matches!(child.try_wait(), Ok(None)));
-        let is_timed_out = |at: IntegerMillis| now > at + EXTERNAL_WORK_TIMEOUT_MILLIS;
-        let timed_out = self.external_work.iter().filter(|(_, at)| is_timed_out(**at));
-        let timed_out: Vec<DutyName> = timed_out.map(|(duty, _)| duty.clone()).collect();
-        for duty in timed_out {
-            self.external_work_ended(&duty, "its process has stopped querying ownership", node, now);
+        self.workers.expire(now);
+        self.release_recalled(node, now);
+    }
+
+    /// Releases the recalled duties without a program here once no process does their work any more. Those with one are
+    /// released by [`JobAction::Release`].
+    fn release_recalled(&self, node: &mut Node, now: IntegerMillis) {
+        for (duty, _) in node.owned_duties(now) {
+            let is_recalled = node.session_duty(&duty).is_some_and(|owned| owned.is_recalled);
+            if is_recalled && !self.owned.contains_key(&duty) && !self.workers.is_any_at_work(&duty, now) {
+                release(&duty, node, now);
+            }
         }
     }
 
@@ -182,7 +182,10 @@
     fn reap(&mut self, duty: &DutyName, node: &mut Node, now: IntegerMillis) {
         let Some(job) = self.owned.get_mut(duty) else { return };
         let Some(Ok(Some(status))) = job.child.as_mut().map(Child::try_wait) else { return };
-        job.child = None;
+        // A supervisor that was killed has not ended the program of its run: that may be at work for the rest of the lease.
+        if let Some(child) = job.child.take().filter(|_| status.code().is_some()) {
+            self.workers.ended(duty, worker_id(&child));
+        }
         let action = job.runs.process_ended(exit_reason(status), now);
         self.execute(duty, action, node, now);
     }
@@ -227,9 +230,11 @@
                     send_signal(child, Signal::TERM);
                 }
             }
+            // Returned again by the next step.
+            Some(JobAction::Release) if self.workers.is_any_at_work(duty, now) => {}
             Some(JobAction::Release) => {
                 self.owned.remove(duty);
-                release(duty, "the process of its run has ended", node, now);
+                release(duty, node, now);
             }
         }
     }
@@ -264,12 +269,17 @@
     node.owned_token(duty, now).and_then(|_| node.session_duty(duty)).cloned()
 }
 
-/// Releases a duty and logs why its work counts as ended.
-fn release(duty: &str, reason: &'static str, node: &mut Node, now: IntegerMillis) {
-    log!(part = "fleet", duty, why = reason, "the duty is released");
+/// Releases a duty of which no process does the work any more.
+fn release(duty: &str, node: &mut Node, now: IntegerMillis) {
+    log!(part = "fleet", duty, "the duty is released: no process does its work any more");
     node.release(duty, now);
 }
 
+/// The id under which a process of this server's queries ownership.
+fn worker_id(child: &Child) -> WorkerId {
+    WorkerId(child.id() as i32)
+}
+
 fn exit_reason(status: ExitStatus) -> Exit {
     let has_code = |code: u8| status.code() == Some(i32::from(code));
     if status.success() {
--- a/crates/loomflow-server/src/fleet/operator_socket.rs
+++ b/crates/loomflow-server/src/fleet/operator_socket.rs
@@ -6,10 +6,12 @@
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 
+use loomflow_fleet::duty::workers::WorkerId;
 use loomflow_fleet::member::FleetRequestId;
 use loomflow_fleet::operator::{LINE_END, MAX_LINE_BYTES, OperatorRequest, OperatorResponse, encode_line};
 use mio::net::{UnixListener, UnixStream};
 use mio::{Interest, Registry, Token};
+use nix::sys::socket::{getsockopt, sockopt};
 
 use super::OPERATORS;
 
@@ -111,6 +113,14 @@
         Some(serde_json::from_slice(&line).map_err(RequestError::Unreadable))
     }
 
+    /// The process that opened a connection.
+    pub fn peer_process(&self, token: Token) -> WorkerId {
+        let connection = self.connections.get(&token);
+        let credentials =
+            connection.and_then(|connection| getsockopt(&connection.stream, sockopt::PeerCredentials).ok());
+        credentials.map_or(WorkerId::UNKNOWN, |credentials| WorkerId(credentials.pid()))
+    }
+
     /// Makes the connection wait for the response to a fleet request.
     pub fn await_response(&mut self, token: Token, id: FleetRequestId) {
         if let Some(connection) = self.connections.get_mut(&token) {
--- a/crates/loomflow-server/tests/common/fleet.rs
+++ b/crates/loomflow-server/tests/common/fleet.rs
@@ -87,3 +87,16 @@
 pub fn expect_serving(fleet: &Fleet, member: usize) {
     idle_gateway(&fleet.members[member].fixture);
 }
+
+/// The owner of a duty as `observer` reports it.
+pub fn owner(fleet: &Fleet, observer: usize, duty: &str) -> Option<usize> {
+    let (_, output, _) = fleet.run_command(observer, &["duty", "show", duty, "--json"]);
+    let number: usize = json(&output)["owner"]["name"].as_str()?.strip_prefix('n')?.parse().ok()?;
+    Some(number - 1)
+}
+
+/// Waits until `observer` reports an owner of a duty; returns the owner.
+pub fn wait_for_owner(fleet: &Fleet, observer: usize, duty: &str) -> usize {
+    fleet.wait_until("the duty has an owner", |fleet| owner(fleet, observer, duty).is_some());
+    owner(fleet, observer, duty).expect("the duty still has an owner")
+}
--- a/crates/loomflow-server/tests/duties.rs
+++ b/crates/loomflow-server/tests/duties.rs
@@ -47,19 +47,6 @@
     written_tokens(fleet).last().copied().unwrap_or(0)
 }
 
-/// The owner of a duty as `observer` reports it.
-fn owner(fleet: &Fleet, observer: usize, duty: &str) -> Option<usize> {
-    let (_, output, _) = fleet.run_command(observer, &["duty", "show", duty, "--json"]);
-    let number: usize = json(&output)["owner"]["name"].as_str()?.strip_prefix('n')?.parse().ok()?;
-    Some(number - 1)
-}
-
-/// Waits until `observer` reports an owner of a duty; returns the owner.
-fn wait_for_owner(fleet: &Fleet, observer: usize, duty: &str) -> usize {
-    fleet.wait_until("the duty has an owner", |fleet| owner(fleet, observer, duty).is_some());
-    owner(fleet, observer, duty).expect("the duty still has an owner")
-}
-
 /// Waits until `observer` reports an owner of a duty other than `former`.
 fn wait_for_new_owner(fleet: &Fleet, observer: usize, duty: &str, former: usize) {
     fleet.wait_until("another member owns the duty", |fleet| {
