Notice that a gateway's client has left while its connection is not read

What callers saw: requests of a client that had closed its connection were sent to the engine 150 to 240 ms later. Cause: a close was seen by reading only, and a driver does not read at 32 open requests or with much unwritten output, so the owner did not learn of it and started the queued requests; input beyond one turn was delivered before the close behind it. Evidence: 8 requests on a connection were cancelled at once, 40 and more were not, by reset and by FIN. Change: before a turn without reading, or with more to read than one turn takes, the driver asks the kernel by poll(RDHUP) whether the peer of a gateway's connection has left, and drops what is unread. Engine, ledger and broker are excepted.

--- a/crates/loomflow-server/src/connection/driver.rs
+++ b/crates/loomflow-server/src/connection/driver.rs
@@ -8,6 +8,7 @@
 use loomflow_protocol::Decoder;
 use may::io::WaitIo;
 use may::net::TcpStream;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
 use super::handle::ConnectionHandle;
 use super::runtime::sleep;
@@ -65,12 +66,26 @@
     input_closed: impl FnOnce(CloseReason),
 ) -> CloseReason {
     let mut input_closed = Some(input_closed);
+    let mut may_have_unread = false;
     loop {
         if let Err(reason) = handle.flush(stream.inner()) {
             return reason;
         }
+        // Reading alone shows a close only after all input that was sent before it.
+        if (may_have_unread || !handle.may_read()) && handle.needs_connected_peer() {
+            match peer_state(stream.inner()) {
+                PeerState::Connected => {}
+                PeerState::Reset => return CloseReason::Reset,
+                PeerState::Closed => {
+                    handle.input_closed(CloseReason::PeerClosed);
+                    report_input_closed(&mut input_closed, CloseReason::PeerClosed);
+                }
+            }
+        }
+        may_have_unread = false;
         match read_messages(stream.inner(), handle, &mut decoder, &mut deliver) {
             Ok(ReadOutcome::MoreToRead) => {
+                may_have_unread = true;
                 match handle.throttle_delay() {
                     Duration::ZERO => may::coroutine::yield_now(),
                     delay => sleep(delay),
@@ -78,11 +93,7 @@
                 continue;
             }
             Ok(ReadOutcome::Drained) => {}
-            Ok(ReadOutcome::InputClosed(reason)) => {
-                if let Some(input_closed) = input_closed.take() {
-                    input_closed(reason);
-                }
-            }
+            Ok(ReadOutcome::InputClosed(reason)) => report_input_closed(&mut input_closed, reason),
             Err(reason) => return reason,
         }
         if let Some(reason) = handle.close_due() {
@@ -98,6 +109,38 @@
     }
 }
 
+/// Reports the end of the input, unless it was reported before.
+fn report_input_closed(input_closed: &mut Option<impl FnOnce(CloseReason)>, reason: CloseReason) {
+    if let Some(input_closed) = input_closed.take() {
+        input_closed(reason);
+    }
+}
+
+/// Whether the peer is still connected, as far as the kernel knows.
+enum PeerState {
+    Connected,
+    /// The peer has closed its side; input from before may be unread.
+    Closed,
+    /// The connection was reset.
+    Reset,
+}
+
+/// Queries the state of the peer without reading: a read returns all unread input before it shows that the peer has left.
+fn peer_state(stream: &std::net::TcpStream) -> PeerState {
+    let mut events = [PollFd::new(stream, PollFlags::RDHUP)];
+    if poll(&mut events, Some(&Timespec::default())).is_err() {
+        return PeerState::Connected;
+    }
+    let state = events[0].revents();
+    if state.intersects(PollFlags::ERR | PollFlags::HUP) {
+        PeerState::Reset
+    } else if state.contains(PollFlags::RDHUP) {
+        PeerState::Closed
+    } else {
+        PeerState::Connected
+    }
+}
+
 /// Whether the peer has sent bytes that are not delivered yet, in the buffer or in the socket.
 fn has_unread_input<D: Decoder>(mut stream: &std::net::TcpStream, decoder: &mut D) -> bool {
     let buffer = decoder.buffer();
--- a/crates/loomflow-server/src/connection/handle.rs
+++ b/crates/loomflow-server/src/connection/handle.rs
@@ -250,6 +250,13 @@
         state.close_reason.is_none() && has_capacity && is_below_write_limit
     }
 
+    /// Whether the messages of a peer that has closed the connection are to be discarded, also those that it sent before: they
+    /// need a response that it cannot receive.
+    pub(super) fn needs_connected_peer(&self) -> bool {
+        let state = self.lock();
+        state.max_open_requests.is_some() && state.close_reason != Some(CloseReason::PeerClosed)
+    }
+
     /// The reason for closing, once no request is open and everything is written; `None` until then.
     pub(super) fn close_due(&self) -> Option<CloseReason> {
         let state = self.lock();
