Do not run an attempt again whose run has ended when its id comes back

Cause: an attempt was known by its id only until its run had ended; the test engine hid it, as it never answered a RUN with an id it had ever seen, where the protocol only says so of a run that goes on. Evidence: while the runs went on, the repeats failed; after their end they ran again. The test engine starts a run again whose former run has ended.

--- a/crates/loomflow-protocol/src/attempt_id.rs
+++ b/crates/loomflow-protocol/src/attempt_id.rs
@@ -4,7 +4,7 @@
 const DIGITS: usize = 16;
 
 /// Identifies one attempt of a request; assigned by the gateway that sends it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AttemptId(pub u64);
 
 impl AttemptId {
--- a/crates/loomflow-server/src/budget/tests.rs
+++ b/crates/loomflow-server/src/budget/tests.rs
@@ -20,7 +20,9 @@
         let server_bytes = budget.max_unwritten_bytes
             + budget.max_result_bytes
             + budget.max_idempotency_entries * IDEMPOTENCY_ENTRY_BYTES
-            + budget.max_requests * REQUEST_BYTES;
+            + budget.max_requests * REQUEST_BYTES
+            + budget.max_started_attempts * STARTED_ATTEMPT_BYTES;
+        assert!(budget.max_started_attempts > budget.max_requests);
         assert!(server_bytes <= memory_mb as usize * 1024 * 1024 / 2);
         let broker = budget.for_broker(64 * 1024);
         let broker_bytes = broker.max_in_flight * 3 * 64 * 1024
--- a/crates/loomflow-server/src/owner/admission.rs
+++ b/crates/loomflow-server/src/owner/admission.rs
@@ -16,6 +16,8 @@
     IdempotencyCacheFull,
     /// Another request in the table has the same attempt id.
     AttemptIdInUse,
+    /// An attempt with the same id has run.
+    AttemptHasRun,
     /// The idempotency key is retained for a request with another body.
     KeyInUse,
     /// The front found the request invalid.
@@ -30,6 +32,7 @@
             AdmissionRejection::RequestTableFull => "the request table is full",
             AdmissionRejection::IdempotencyCacheFull => "the idempotency cache is full",
             AdmissionRejection::AttemptIdInUse => "the attempt id is in use",
+            AdmissionRejection::AttemptHasRun => "an attempt with this id has run",
             AdmissionRejection::KeyInUse => "the idempotency key is in use with another body",
             AdmissionRejection::Invalid(invalid) => invalid.reason(),
         }
@@ -41,6 +44,7 @@
             AdmissionRejection::EngineNotUp
             | AdmissionRejection::RequestTableFull
             | AdmissionRejection::IdempotencyCacheFull => Response::REJECTED,
+            AdmissionRejection::AttemptHasRun => Response::Failed(Failure::MayHaveRun),
             AdmissionRejection::AttemptIdInUse
             | AdmissionRejection::KeyInUse
             | AdmissionRejection::Invalid(_) => Response::Failed(Failure::Invalid),
--- a/crates/loomflow-server/src/owner/mod.rs
+++ b/crates/loomflow-server/src/owner/mod.rs
@@ -7,6 +7,7 @@
 //! - this file: processes one batch;
 //! - `controller_host`: the controller and its event queue;
 //! - `requests`: requests, from submission by a front to the response; `admission`: the checks before the controller;
+//! - `started_attempts`: the attempts that have run and must not run again;
 //! - `engine_events`: handles the engine's notices, and resends commands after a lost link;
 //! - `actions`: carries out the controller's actions;
 //! - `timers`, `health_checks`, `fleet_reporter`, `peers`: the controller's timers, health checks, load reports to the fleet,
@@ -27,6 +28,7 @@
 mod reload;
 mod requests;
 mod shutdown;
+mod started_attempts;
 mod timers;
 
 use std::sync::Arc;
@@ -54,6 +56,7 @@
 use health_checks::HealthChecks;
 use peers::Peers;
 use shutdown::GracefulShutdown;
+use started_attempts::StartedAttempts;
 use timers::Timers;
 
 /// Why the server could not be started.
@@ -86,6 +89,7 @@
     /// Reused buffer for the fronts' requests, empty except in [`Owner::update_fronts`].
     front_requests: Vec<FrontRequest>,
     idempotency: IdempotencyCache,
+    started_attempts: StartedAttempts,
     fronts: Fronts,
     peers: Peers,
     fleet: FleetReporter,
@@ -117,6 +121,7 @@
             admission_limit: AdmissionLimit { max_requests: budget.max_requests },
             front_requests: Vec::new(),
             idempotency: IdempotencyCache::new(budget.max_result_bytes, budget.max_idempotency_entries),
+            started_attempts: StartedAttempts::new(budget.max_started_attempts),
             fronts,
             peers: Peers::start(&config, budget.max_ledger_connections, control_plane, mailbox),
             fleet,
@@ -182,6 +187,7 @@
         }
         self.update_fronts(|fronts, requests| fronts.check_timeouts(now, requests));
         self.idempotency.expire(now);
+        self.started_attempts.expire(now);
         self.end_unreported_runs();
         if let Some(end) = self.peers.engine.check_replay_timeout(now) {
             self.resend_commands(end);
--- a/crates/loomflow-server/src/owner/requests.rs
+++ b/crates/loomflow-server/src/owner/requests.rs
@@ -74,14 +74,19 @@
     }
 
     /// Assigns an id to a submission and registers its key. Rejects it if the request table or the idempotency cache is full,
-    /// or if its attempt id or key is in use.
+    /// if its attempt id or key is in use, or if the attempt has run. An attempt that has run is accepted as the duplicate of a
+    /// request with its key, because a duplicate does not run.
     fn admit(&mut self, submission: &Submission) -> Result<Admission, AdmissionRejection> {
         self.check_capacity()?;
         if self.requests.find_attempt(submission.attempt_id).is_some() {
             return Err(AdmissionRejection::AttemptIdInUse);
         }
         let id = self.requests.next_id();
-        let Some(key) = submission.key.clone() else { return Ok(Admission { id, original: None }) };
+        let has_run = self.started_attempts.contains(submission.attempt_id);
+        let Some(key) = submission.key.clone() else {
+            let admission = Admission { id, original: None };
+            return if has_run { Err(AdmissionRejection::AttemptHasRun) } else { Ok(admission) };
+        };
         let class = &self.site.settings.classes[submission.attributes.class];
         let request = KeyedRequest {
             key,
@@ -91,7 +96,12 @@
             max_read_delay: class.timeout,
         };
         let registration = self.idempotency.register(id, request, self.now.ms);
-        Ok(Admission { id, original: admission::check_registration(registration)? })
+        let original = admission::check_registration(registration)?;
+        if has_run && original.is_none() {
+            self.idempotency.remove(id);
+            return Err(AdmissionRejection::AttemptHasRun);
+        }
+        Ok(Admission { id, original })
     }
 
     /// Responds to a health check, or sends it to the engine if it is a deep one that needs it.
@@ -154,9 +164,13 @@
 
     /// Removes a request from the table, and responds to the duplicates that waited for its result.
     pub(super) fn remove(&mut self, id: RequestId, completion: Completion) {
-        let entry = self.requests.remove(id);
-        if let Some(original) = entry.and_then(|entry| entry.original) {
-            self.idempotency.remove_waiter(id, original);
+        if let Some(entry) = self.requests.remove(id) {
+            if entry.is_run() && completion != Completion::NotRun {
+                self.started_attempts.record(entry.attempt_id, self.now.ms);
+            }
+            if let Some(original) = entry.original {
+                self.idempotency.remove_waiter(id, original);
+            }
         }
         for waiter in self.idempotency.complete(id, completion) {
             self.respond_with_result(waiter, completion);
--- a/crates/loomflow-test-servers/src/autonomous_engine.rs
+++ b/crates/loomflow-test-servers/src/autonomous_engine.rs
@@ -32,8 +32,9 @@
     run_counts: BTreeMap<(String, Vec<u8>), usize>,
     /// Bodies of the requested runs and the times of the requests, in order of arrival.
     started_runs: Vec<(Vec<u8>, Instant)>,
-    /// Ids of all requested runs; a repeated request for one of them is ignored.
-    requested_ids: BTreeSet<String>,
+    /// Ids of the runs that have not ended; a request for one of them is ignored, and one for a run that has ended starts it
+    /// again.
+    running_ids: BTreeSet<String>,
     /// Duration of new runs.
     work: Duration,
     /// Number of runs, from the next one to end, that end in a fault.
@@ -163,7 +164,10 @@
     pub fn reset_for_server_restart(&self) {
         let mut state = self.state();
         state.notices.clear();
-        state.queued_runs.clear();
+        let dropped = std::mem::take(&mut state.queued_runs);
+        for run in dropped {
+            state.running_ids.remove(&run.id);
+        }
         state.connection = None;
     }
 }
@@ -211,6 +215,7 @@
         let fails = state.runs_to_fail > 0;
         state.runs_to_fail = state.runs_to_fail.saturating_sub(1);
         let duration_ms = run.work.as_millis().max(1);
+        state.running_ids.remove(&run.id);
         if fails {
             state.send_notice("DONE", &format!("{} fault {duration_ms}", run.id), b"");
         } else {
@@ -279,10 +284,10 @@
         Ok(())
     }
 
-    /// Queues a run, unless a run with this id was requested before.
+    /// Queues a run, unless a run with this id has not ended.
     fn request_run(&self, id: &str, class: &str, body: Vec<u8>) {
         let mut state = self.lock();
-        if !state.requested_ids.insert(id.to_owned()) {
+        if !state.running_ids.insert(id.to_owned()) {
             return;
         }
         *state.run_counts.entry((class.to_owned(), body.clone())).or_default() += 1;
