Take the memory for ids of ended runs from the idempotency entries

Change: one eighth of the part for idempotency entries is for the ids; the bound on requests is as before.

--- a/crates/loomflow-server/src/budget.rs
+++ b/crates/loomflow-server/src/budget.rs
@@ -14,14 +14,14 @@
 const NEAR_CAPACITY: (usize, usize) = (3, 4);
 
 /// The memory is divided into this many equal parts. One part each is for responses that gateways have not read, cached
-/// results, entries of the idempotency cache, and requests with the ids of attempts that have run. The rest is for the program and for the coroutines' stacks and
+/// results, entries of the idempotency cache with the ids of attempts that have run, and requests. The rest is for the program and for the coroutines' stacks and
 /// buffers (at most 24 KB per connection).
 const MEMORY_PARTS: usize = 8;
 /// Bytes of one request with its body.
 const REQUEST_BYTES: usize = 2_560;
 /// Bytes of one entry of the idempotency cache.
 const IDEMPOTENCY_ENTRY_BYTES: usize = 512;
-/// Of the part for requests one in this many bytes is for the ids of attempts that have run.
+/// Of the part for the idempotency cache one in this many bytes is for the ids of attempts that have run.
 const STARTED_ATTEMPTS_FRACTION: usize = 8;
 /// Bytes of the id of an attempt in a queue and in a hash table that may be half empty.
 const STARTED_ATTEMPT_BYTES: usize = 40;
@@ -85,8 +85,8 @@
             max_ledger_connections,
             max_unwritten_bytes: memory_part_bytes,
             max_result_bytes: memory_part_bytes,
-            max_idempotency_entries: memory_part_bytes / IDEMPOTENCY_ENTRY_BYTES,
-            max_requests: ((memory_part_bytes - started_attempts_bytes) / REQUEST_BYTES).max(1),
+            max_idempotency_entries: (memory_part_bytes - started_attempts_bytes) / IDEMPOTENCY_ENTRY_BYTES,
+            max_requests: (memory_part_bytes / REQUEST_BYTES).max(1),
             max_started_attempts: started_attempts_bytes / STARTED_ATTEMPT_BYTES,
             memory_part_bytes,
         }
