Bound the memory of messages that fleet members send in part

What operators saw: with hundreds of clients that stopped half way through a long message a process passed its memory limit. Cause: each of 1,024 connections to fleet.listen could hold 8 MB of a partial message for a minute, with no bound on all together, and a reader kept the memory of its longest message. The incoming half of `links` is a module of its own. The test fails on the former code (303 MB with 40 connections) and passes now.

--- a/crates/loomflow-fleet/src/wire.rs
+++ b/crates/loomflow-fleet/src/wire.rs
@@ -135,6 +135,9 @@
     Ok(message)
 }
 
+/// Capacity of the buffer that a reader keeps when it is empty, bytes.
+const RETAINED_BUFFER_BYTES: usize = 32 * 1024;
+
 /// Splits a stream into messages. It buffers at most one message of maximum size and one read.
 #[derive(Default)]
 pub struct FrameReader {
@@ -146,10 +149,33 @@
 impl FrameReader {
     /// Appends bytes read from the stream.
     pub fn feed(&mut self, bytes: &[u8]) {
-        self.buffer.drain(..std::mem::take(&mut self.consumed));
+        self.release_consumed();
+        let needed = self.buffer.len() + bytes.len();
+        if needed > self.buffer.capacity() {
+            let doubled = (2 * self.buffer.capacity()).min(LENGTH_BYTES + MAX_MESSAGE_BYTES);
+            self.buffer.reserve_exact(needed.max(doubled) - self.buffer.len());
+        }
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Releases the memory of the messages that were returned.
+    pub fn release_consumed(&mut self) {
+        self.buffer.drain(..std::mem::take(&mut self.consumed));
+        if self.buffer.is_empty() {
+            self.buffer.shrink_to(RETAINED_BUFFER_BYTES);
+        }
+    }
+
+    /// Memory of the buffer, bytes.
+    pub fn buffer_bytes(&self) -> usize {
+        self.buffer.capacity()
+    }
+
+    /// Whether a part of a message was received, and the rest was not.
+    pub fn has_partial_message(&self) -> bool {
+        self.consumed < self.buffer.len()
+    }
+
     /// Returns the next complete message without its length prefix, or `None` if more bytes are needed.
     ///
     /// # Errors
--- a/crates/loomflow-fleet/src/wire/tests.rs
+++ b/crates/loomflow-fleet/src/wire/tests.rs
@@ -19,6 +19,22 @@
     assert_eq!(reader.next_frame(), Err(FrameError::TooLong(u32::MAX as usize)));
 }
 
+#[test]
+fn a_reader_releases_the_memory_of_a_large_message() {
+    let encoded = encode(&message(vec![7; MAX_MESSAGE_BYTES / 2])).unwrap();
+    let mut reader = FrameReader::default();
+    for part in encoded.chunks(10_000) {
+        assert_eq!(reader.next_frame(), Ok(None));
+        reader.feed(part);
+        assert!(reader.has_partial_message());
+        assert!(reader.buffer_bytes() <= LENGTH_BYTES + MAX_MESSAGE_BYTES);
+    }
+    assert!(reader.next_frame().unwrap().is_some());
+    assert!(!reader.has_partial_message());
+    reader.release_consumed();
+    assert!(reader.buffer_bytes() <= RETAINED_BUFFER_BYTES);
+}
+
 proptest! {
     #[test]
     fn messages_are_reassembled_from_any_split_of_the_stream(
--- /dev/null
+++ b/crates/loomflow-server/src/fleet/incoming_links.rs
@@ -0,0 +1,184 @@
+//! Connections from other members, which are only read. Whoever can reach the listener can open one, so their number and the
+//! memory of messages received in part are bounded; `partial_messages` decides which of them are closed.
+
+use std::collections::BTreeMap;
+use std::io::{ErrorKind, Read};
+
+use loomflow_fleet::time::IntegerMillis;
+use loomflow_fleet::wire::{FrameError, FrameReader};
+use mio::net::TcpStream;
+use mio::{Interest, Registry, Token};
+
+use super::links::{IDLE_TIMEOUT_MILLIS, MAX_CONNECTIONS};
+use super::partial_messages::{self, LinkProgress};
+use crate::log;
+
+/// A connection is closed after this time without a message, ms: later than its sender closes it.
+const INCOMING_IDLE_TIMEOUT_MILLIS: IntegerMillis = 4 * IDLE_TIMEOUT_MILLIS;
+/// Bytes read from one connection before the other connections get their turn.
+const MAX_READ_BYTES: usize = 64 * 1024;
+/// Bytes read by one system call.
+const READ_BUFFER_BYTES: usize = 16 * 1024;
+
+struct IncomingLink {
+    stream: TcpStream,
+    frames: FrameReader,
+    last_read_at: IntegerMillis,
+    /// When the first bytes of the message were read that is received in part; `None` if there is none.
+    message_started_at: Option<IntegerMillis>,
+}
+
+impl IncomingLink {
+    fn progress(&self) -> LinkProgress {
+        LinkProgress {
+            buffer_bytes: self.frames.buffer_bytes(),
+            last_read_at: self.last_read_at,
+            message_started_at: self.message_started_at,
+        }
+    }
+}
+
+/// All connections from other members.
+#[derive(Default)]
+pub struct IncomingLinks {
+    links: BTreeMap<Token, IncomingLink>,
+    /// Memory of the buffers of all connections, bytes.
+    buffer_bytes: usize,
+}
+
+impl IncomingLinks {
+    /// Adds an accepted connection. Beyond the maximum, the one idle for longest is closed.
+    pub fn insert(&mut self, token: Token, stream: TcpStream, now: IntegerMillis) {
+        if self.links.len() >= MAX_CONNECTIONS
+            && let Some(oldest) = self.links.iter().min_by_key(|(_, link)| link.last_read_at).map(|(t, _)| *t)
+        {
+            self.close(oldest);
+        }
+        let link = IncomingLink {
+            stream,
+            frames: FrameReader::default(),
+            last_read_at: now,
+            message_started_at: None,
+        };
+        self.links.insert(token, link);
+    }
+
+    fn close(&mut self, token: Token) {
+        if let Some(link) = self.links.remove(&token) {
+            self.buffer_bytes -= link.frames.buffer_bytes();
+        }
+    }
+
+    /// Reads from a connection and passes each complete message to `handle_message`. Returns the peer and the error if an
+    /// invalid message closed the connection.
+    pub fn read(
+        &mut self,
+        token: Token,
+        now: IntegerMillis,
+        registry: &Registry,
+        handle_message: &mut dyn FnMut(&[u8]) -> Result<(), FrameError>,
+    ) -> Option<String> {
+        let link = self.links.get_mut(&token)?;
+        let bytes_before = link.frames.buffer_bytes();
+        let result = read(link, now, handle_message);
+        self.buffer_bytes = self.buffer_bytes + link.frames.buffer_bytes() - bytes_before;
+        match result {
+            Ok(ReadResult::Drained) => {}
+            Ok(ReadResult::HasMore) => {
+                // Readiness is edge-triggered: reregistering reports it again, after that of the other links.
+                let _ = registry.reregister(&mut link.stream, token, Interest::READABLE);
+            }
+            Ok(ReadResult::Closed) => self.close(token),
+            Err(error) => {
+                let peer = link.stream.peer_addr().map_or_else(|_| "?".into(), |peer| peer.to_string());
+                self.close(token);
+                return Some(format!("{peer}: {error:?}"));
+            }
+        }
+        self.bound_buffers();
+        None
+    }
+
+    /// Closes connections while the buffers of all together exceed their bound.
+    fn bound_buffers(&mut self) {
+        while self.buffer_bytes > partial_messages::MAX_BUFFER_BYTES {
+            let links = self.links.iter().map(|(token, link)| (*token, link.progress()));
+            let Some(token) = partial_messages::least_progress(links) else { return };
+            log!(
+                part = "fleet",
+                "a connection from another member was closed: all messages received in part exceed the limit"
+            );
+            self.close(token);
+        }
+    }
+
+    /// Closes connections that are idle, and those on which a message is stalled.
+    pub fn close_timed_out(&mut self, now: IntegerMillis) {
+        let is_timed_out = |link: &IncomingLink| {
+            now >= link.last_read_at + INCOMING_IDLE_TIMEOUT_MILLIS || link.progress().is_stalled(now)
+        };
+        let closed: Vec<Token> =
+            self.links.iter().filter(|(_, link)| is_timed_out(link)).map(|(t, _)| *t).collect();
+        for token in closed {
+            self.close(token);
+        }
+    }
+}
+
+impl IncomingLink {
+    /// Passes on the messages that are complete with these bytes.
+    fn receive(
+        &mut self,
+        bytes: &[u8],
+        now: IntegerMillis,
+        handle_message: &mut dyn FnMut(&[u8]) -> Result<(), FrameError>,
+    ) -> Result<(), FrameError> {
+        self.last_read_at = now;
+        self.frames.feed(bytes);
+        let mut is_any_complete = false;
+        while let Some(frame) = self.frames.next_frame()? {
+            handle_message(frame)?;
+            is_any_complete = true;
+        }
+        self.frames.release_consumed();
+        let started_at = self.message_started_at.filter(|_| !is_any_complete).unwrap_or(now);
+        self.message_started_at = self.frames.has_partial_message().then_some(started_at);
+        Ok(())
+    }
+}
+
+/// The state of an incoming connection after a bounded read.
+enum ReadResult {
+    /// All available bytes are read.
+    Drained,
+    /// [`MAX_READ_BYTES`] are read, and more may be available.
+    HasMore,
+    /// The peer closed the connection, or reading failed.
+    Closed,
+}
+
+/// Reads up to [`MAX_READ_BYTES`], so that one link does not starve the others, and passes on each complete message.
+///
+/// # Errors
+/// A message is invalid.
+fn read(
+    link: &mut IncomingLink,
+    now: IntegerMillis,
+    handle_message: &mut dyn FnMut(&[u8]) -> Result<(), FrameError>,
+) -> Result<ReadResult, FrameError> {
+    let mut bytes = [0; READ_BUFFER_BYTES];
+    let mut read_bytes = 0;
+    while read_bytes < MAX_READ_BYTES {
+        match link.stream.read(&mut bytes) {
+            Ok(0) => return Ok(ReadResult::Closed),
+            Ok(count) => {
+                link.receive(&bytes[..count], now, handle_message)?;
+                read_bytes += count;
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(ReadResult::Drained),
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(_) => return Ok(ReadResult::Closed),
+        }
+    }
+    Ok(ReadResult::HasMore)
+}
--- a/crates/loomflow-server/src/fleet/links.rs
+++ b/crates/loomflow-server/src/fleet/links.rs
@@ -7,18 +7,17 @@
 use std::net::SocketAddr;
 
 use loomflow_fleet::time::IntegerMillis;
-use loomflow_fleet::wire::{FrameError, FrameReader};
+use loomflow_fleet::wire::FrameError;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
 
+use super::incoming_links::IncomingLinks;
 use super::{FIRST_CONNECTION, LISTENER};
 
 /// Maximum number of connections in each direction. Beyond it, the one idle for longest is closed first.
-const MAX_CONNECTIONS: usize = 1_024;
+pub(super) const MAX_CONNECTIONS: usize = 1_024;
 /// An outgoing connection is closed after this time without a message, ms.
-const IDLE_TIMEOUT_MILLIS: IntegerMillis = 15_000;
-/// An incoming connection is closed after this time without a message, ms: later than its sender closes it.
-const INCOMING_IDLE_TIMEOUT_MILLIS: IntegerMillis = 4 * IDLE_TIMEOUT_MILLIS;
+pub(super) const IDLE_TIMEOUT_MILLIS: IntegerMillis = 15_000;
 /// An outgoing connection is closed if nothing of its queue can be written for this time, ms.
 const STALL_TIMEOUT_MILLIS: IntegerMillis = 3_000;
 /// Messages to an address are dropped for this time after a connection to it failed, ms.
@@ -27,17 +26,6 @@
 const MAX_QUEUED_MESSAGES: usize = 512;
 /// Maximum number of bytes queued for one connection; a single message may exceed it.
 const MAX_QUEUED_BYTES: usize = 1024 * 1024;
-/// Bytes read from one connection before the other connections get their turn.
-const MAX_READ_BYTES: usize = 64 * 1024;
-/// Bytes read by one system call.
-const READ_BUFFER_BYTES: usize = 16 * 1024;
-
-struct IncomingLink {
-    stream: TcpStream,
-    frames: FrameReader,
-    last_read_at: IntegerMillis,
-}
-
 struct OutgoingLink {
     stream: TcpStream,
     address: SocketAddr,
@@ -53,7 +41,7 @@
 pub struct Links {
     listener: TcpListener,
     next_token: usize,
-    incoming: BTreeMap<Token, IncomingLink>,
+    incoming: IncomingLinks,
     outgoing: BTreeMap<Token, OutgoingLink>,
     token_by_address: BTreeMap<SocketAddr, Token>,
     /// Addresses to which a connection failed, with the time until which messages to them are dropped.
@@ -68,7 +56,7 @@
         Ok(Links {
             listener,
             next_token: FIRST_CONNECTION,
-            incoming: BTreeMap::new(),
+            incoming: IncomingLinks::default(),
             outgoing: BTreeMap::new(),
             token_by_address: BTreeMap::new(),
             unreachable_until: BTreeMap::new(),
@@ -84,18 +72,9 @@
     /// Accepts all pending connections.
     pub fn accept(&mut self, registry: &Registry, now: IntegerMillis) {
         while let Ok((mut stream, _)) = self.listener.accept() {
-            if self.incoming.len() >= MAX_CONNECTIONS
-                && let Some(oldest) =
-                    self.incoming.iter().min_by_key(|(_, link)| link.last_read_at).map(|(t, _)| *t)
-            {
-                self.incoming.remove(&oldest);
-            }
             let token = self.new_token();
             if registry.register(&mut stream, token, Interest::READABLE).is_ok() {
-                self.incoming.insert(
-                    token,
-                    IncomingLink { stream, frames: FrameReader::default(), last_read_at: now },
-                );
+                self.incoming.insert(token, stream, now);
             }
         }
     }
@@ -117,24 +96,7 @@
         if !is_readable {
             return None;
         }
-        let link = self.incoming.get_mut(&token)?;
-        match read(link, now, handle_message) {
-            Ok(ReadResult::Drained) => None,
-            Ok(ReadResult::HasMore) => {
-                // Readiness is edge-triggered: reregistering reports it again, after that of the other links.
-                let _ = registry.reregister(&mut link.stream, token, Interest::READABLE);
-                None
-            }
-            Ok(ReadResult::Closed) => {
-                self.incoming.remove(&token);
-                None
-            }
-            Err(error) => {
-                let peer = link.stream.peer_addr().map_or_else(|_| "?".into(), |peer| peer.to_string());
-                self.incoming.remove(&token);
-                Some(format!("{peer}: {error:?}"))
-            }
-        }
+        self.incoming.read(token, now, registry, handle_message)
     }
 
     /// Queues a message and writes as much as possible without blocking. Drops the message if the address is unreachable or
@@ -205,7 +167,7 @@
 
     /// Closes connections that are idle or stalled.
     pub fn close_timed_out(&mut self, now: IntegerMillis) {
-        self.incoming.retain(|_, link| now < link.last_read_at + INCOMING_IDLE_TIMEOUT_MILLIS);
+        self.incoming.close_timed_out(now);
         let is_timed_out = |link: &OutgoingLink| {
             let timeout = if link.queue.is_empty() { IDLE_TIMEOUT_MILLIS } else { STALL_TIMEOUT_MILLIS };
             now >= link.last_progress_at + timeout
@@ -226,46 +188,6 @@
     }
 }
 
-/// The state of an incoming connection after a bounded read.
-enum ReadResult {
-    /// All available bytes are read.
-    Drained,
-    /// [`MAX_READ_BYTES`] are read, and more may be available.
-    HasMore,
-    /// The peer closed the connection, or reading failed.
-    Closed,
-}
-
-/// Reads up to [`MAX_READ_BYTES`], so that one link does not starve the others, and passes on each complete message.
-///
-/// # Errors
-/// A message is invalid.
-fn read(
-    link: &mut IncomingLink,
-    now: IntegerMillis,
-    handle_message: &mut dyn FnMut(&[u8]) -> Result<(), FrameError>,
-) -> Result<ReadResult, FrameError> {
-    let mut bytes = [0; READ_BUFFER_BYTES];
-    let mut read_bytes = 0;
-    while read_bytes < MAX_READ_BYTES {
-        match link.stream.read(&mut bytes) {
-            Ok(0) => return Ok(ReadResult::Closed),
-            Ok(count) => {
-                link.last_read_at = now;
-                link.frames.feed(&bytes[..count]);
-                while let Some(frame) = link.frames.next_frame()? {
-                    handle_message(frame)?;
-                }
-                read_bytes += count;
-            }
-            Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(ReadResult::Drained),
-            Err(error) if error.kind() == ErrorKind::Interrupted => {}
-            Err(_) => return Ok(ReadResult::Closed),
-        }
-    }
-    Ok(ReadResult::HasMore)
-}
-
 /// Writes as much of the queue as possible without blocking.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/loomflow-server/tests/fleet_listeners.rs
@@ -0,0 +1,45 @@
+//! Clients that misuse the listeners of the fleet's thread. The server must stay within its memory limit and answer everyone
+//! else.
+
+mod common;
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::Duration;
+
+use common::fleet::*;
+use loomflow_fleet::wire::MAX_MESSAGE_BYTES;
+use loomflow_test_servers::fleet::{Fleet, Plan};
+
+const PLAN: Plan = Plan { extra: "  duties: {lease_s: 10}\n", ..FOUR_MEMBERS };
+/// Memory limit of a server in the configuration of the test servers, KB.
+const MEMORY_LIMIT_KB: usize = 192 * 1024;
+
+/// Peak of the resident memory of a member's process, KB.
+fn peak_memory_kb(fleet: &Fleet, member: usize) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", fleet.members[member].fixture.pid()));
+    let status = status.expect("the process runs");
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("the peak is reported");
+    peak.trim().trim_end_matches(" kB").parse().expect("the peak is a number of KB")
+}
+
+/// Guards against a process that is killed for memory because many senders stop half way through a long message.
+#[test]
+fn partial_messages_of_unknown_senders_stay_within_the_memory_limit() {
+    let fleet = Fleet::start_bootstrapped(PLAN);
+    let mut message = u32::try_from(MAX_MESSAGE_BYTES).unwrap().to_be_bytes().to_vec();
+    message.resize(MAX_MESSAGE_BYTES * 7 / 8, 0);
+    let mut open = Vec::new();
+    for _ in 0..40 {
+        let mut stream =
+            TcpStream::connect(fleet.members[0].address).expect("the member accepts connections");
+        stream.set_write_timeout(Some(Duration::from_secs(5))).expect("the timeout is set");
+        // The server closes some of the connections while they send.
+        let _ = stream.write_all(&message);
+        open.push(stream);
+    }
+    let peak = peak_memory_kb(&fleet, 0);
+    assert!(peak < MEMORY_LIMIT_KB, "{peak} KB of {MEMORY_LIMIT_KB} KB\n{}", fleet.diagnostics());
+    expect_serving(&fleet, 0);
+    fleet.wait_until("the member is in contact with the leader", |fleet| fleet.leader(0).is_some());
+}
