Do not let connections without a request block the operators' socket

What operators saw: after clients that sent nothing, or left in the middle of a line, `loomflow fleet` was refused. Cause: a connection had no timeout; one closed in the middle of a line was never removed, because the close came with its last bytes and no event followed. 64 are the maximum, and each could hold a line of 4 MB. Change: such a close removes the connection; 5 s for a request and for progress of a response; at the maximum, and beyond 8 MiB of incomplete lines, the oldest connection without a complete request is closed. Both tests fail on the former code and pass now.

--- a/crates/loomflow-server/src/fleet/driver.rs
+++ b/crates/loomflow-server/src/fleet/driver.rs
@@ -82,6 +82,7 @@
             }
             self.take_owner_messages(now);
             self.links.close_timed_out(now);
+            self.operators.close_timed_out(now);
         }
     }
 
@@ -113,9 +114,9 @@
         match event.token() {
             WAKE => {}
             LISTENER => self.links.accept(self.poll.registry(), now),
-            OPERATORS => self.operators.accept(self.poll.registry()),
+            OPERATORS => self.operators.accept(self.poll.registry(), now),
             token if self.operators.is_connection(token) => {
-                if let Some(request) = self.operators.ready(token) {
+                if let Some(request) = self.operators.ready(token, now) {
                     self.handle_operator(token, request, now);
                 }
             }
@@ -186,7 +187,7 @@
                 OperatorResponse::Done
             }
         };
-        self.operators.respond(connection, &response);
+        self.operators.respond(connection, &response, now);
     }
 
     /// Responds to a process on this machine that does a duty's work, and records that it is running.
@@ -216,7 +217,7 @@
                 Effect::Drain(_) => self.mailbox.send(OwnerEvent::ShutdownRequested),
                 Effect::Responded(id, response) => {
                     if !self.jobs.handle_write_response(id, &response, &mut self.node, now) {
-                        self.operators.deliver(id, &OperatorResponse::Response(response));
+                        self.operators.deliver(id, &OperatorResponse::Response(response), now);
                     }
                 }
                 Effect::Duty(change) => self.jobs.ownership_changed(change),
--- a/crates/loomflow-server/src/fleet/operator_socket.rs
+++ b/crates/loomflow-server/src/fleet/operator_socket.rs
@@ -9,14 +9,26 @@
 use loomflow_fleet::duty::workers::WorkerId;
 use loomflow_fleet::member::FleetRequestId;
 use loomflow_fleet::operator::{LINE_END, MAX_LINE_BYTES, OperatorRequest, OperatorResponse, encode_line};
+use loomflow_fleet::time::IntegerMillis;
 use mio::net::{UnixListener, UnixStream};
 use mio::{Interest, Registry, Token};
 use nix::sys::socket::{getsockopt, sockopt};
 
 use super::OPERATORS;
+use crate::log;
 
-/// Maximum number of open connections; further ones are closed at once.
+/// Maximum number of open connections. Beyond it, the oldest without a complete request is closed; if there is none, the new
+/// one is closed at once.
 const MAX_CONNECTIONS: usize = 64;
+/// Maximum memory of the incomplete requests of all connections, bytes: two requests of maximum length. Beyond it, the oldest
+/// is closed.
+const MAX_INCOMPLETE_BYTES: usize = 2 * MAX_LINE_BYTES;
+/// Maximum time from the opening of a connection to the end of its request, ms.
+const REQUEST_TIMEOUT_MILLIS: IntegerMillis = 5_000;
+/// Maximum time without progress in writing a response, ms.
+const WRITE_TIMEOUT_MILLIS: IntegerMillis = 5_000;
+/// Bytes read by one system call.
+const READ_BUFFER_BYTES: usize = 4_096;
 /// File mode of the socket: only the server's own user may connect.
 const SOCKET_MODE: u32 = 0o600;
 
@@ -33,10 +45,15 @@
 
 struct OperatorConnection {
     stream: UnixStream,
-    /// Bytes read of the request's line.
+    opened_at: IntegerMillis,
+    /// Bytes read of the request's line; released once that is complete.
     line: Vec<u8>,
+    /// Whether the request was read, or rejected as too long. Further input is discarded.
+    has_request: bool,
     /// Bytes of the response that are not written yet; the connection is closed after the last.
     response: Option<Vec<u8>>,
+    /// When bytes of the response were last written, or it became available.
+    last_write_at: IntegerMillis,
     /// The fleet request whose response is sent to this connection.
     awaited_request: Option<FleetRequestId>,
 }
@@ -75,42 +92,75 @@
         self.connections.contains_key(&token)
     }
 
-    /// Accepts all pending connections; closes those beyond [`MAX_CONNECTIONS`].
-    pub fn accept(&mut self, registry: &Registry) {
+    /// Accepts all pending connections, within [`MAX_CONNECTIONS`].
+    pub fn accept(&mut self, registry: &Registry, now: IntegerMillis) {
         while let Ok((mut stream, _)) = self.listener.accept() {
-            if self.connections.len() >= MAX_CONNECTIONS {
+            if self.connections.len() >= MAX_CONNECTIONS && !self.close_oldest_incomplete() {
                 continue;
             }
             self.next_token += 1;
             // Odd tokens: members' connections have even ones.
             let token = Token(self.next_token * 2 + 1);
             if registry.register(&mut stream, token, Interest::READABLE | Interest::WRITABLE).is_ok() {
-                let (line, response, awaited_request) = (Vec::new(), None, None);
-                self.connections
-                    .insert(token, OperatorConnection { stream, line, response, awaited_request });
+                self.connections.insert(token, OperatorConnection::new(stream, now));
             }
         }
     }
 
+    /// Closes the oldest connection without a complete request. Returns whether there was one.
+    fn close_oldest_incomplete(&mut self) -> bool {
+        // Tokens rise in the order of opening.
+        let oldest = self.connections.iter().find(|(_, connection)| !connection.has_request);
+        let Some(token) = oldest.map(|(token, _)| *token) else { return false };
+        log!(
+            part = "fleet",
+            "a connection to the operators' socket was closed before its request: too many or too long ones are open"
+        );
+        self.connections.remove(&token);
+        true
+    }
+
+    /// Closes the connections on which a request is incomplete, or a response cannot be written, for too long.
+    pub fn close_timed_out(&mut self, now: IntegerMillis) {
+        self.connections.retain(|_, connection| !connection.is_timed_out(now));
+    }
+
     /// Reads and writes as much as possible without blocking. Returns the request once its line is complete, or an error if it
     /// is invalid.
-    pub fn ready(&mut self, token: Token) -> Option<Result<OperatorRequest, RequestError>> {
+    pub fn ready(
+        &mut self,
+        token: Token,
+        now: IntegerMillis,
+    ) -> Option<Result<OperatorRequest, RequestError>> {
         let connection = self.connections.get_mut(&token)?;
-        let is_closed = match connection.read() {
-            Ok(is_closed) => is_closed,
-            Err(error) => return Some(Err(error)),
-        };
-        if is_closed && connection.line.is_empty() {
-            self.connections.remove(&token);
-            return None;
-        }
-        if connection.response.is_some() {
-            self.write(token);
+        if connection.has_request {
+            if connection.response.is_some() {
+                self.write(token, now);
+            } else if connection.is_closed_by_peer() {
+                self.connections.remove(&token);
+            }
             return None;
         }
-        let end = connection.line.iter().position(|byte| *byte == LINE_END)?;
-        let line: Vec<u8> = connection.line.drain(..=end).collect();
-        Some(serde_json::from_slice(&line).map_err(RequestError::Unreadable))
+        let request = match connection.read_line() {
+            LineState::Complete(line) => serde_json::from_slice(&line).map_err(RequestError::Unreadable),
+            LineState::TooLong => Err(RequestError::TooLong),
+            LineState::Closed => {
+                self.connections.remove(&token);
+                return None;
+            }
+            LineState::Incomplete => {
+                self.bound_incomplete();
+                return None;
+            }
+        };
+        Some(request)
+    }
+
+    fn bound_incomplete(&mut self) {
+        let bytes = |socket: &OperatorSocket| -> usize {
+            socket.connections.values().map(|connection| connection.line.capacity()).sum()
+        };
+        while bytes(self) > MAX_INCOMPLETE_BYTES && self.close_oldest_incomplete() {}
     }
 
     /// The process that opened a connection.
@@ -129,58 +179,109 @@
     }
 
     /// Sends the response to the connection that waits for this fleet request, if it is still open.
-    pub fn deliver(&mut self, id: FleetRequestId, response: &OperatorResponse) {
+    pub fn deliver(&mut self, id: FleetRequestId, response: &OperatorResponse, now: IntegerMillis) {
         let mut connections = self.connections.iter();
         let awaiting = connections.find(|(_, connection)| connection.awaited_request == Some(id));
         if let Some(token) = awaiting.map(|(token, _)| *token) {
-            self.respond(token, response);
+            self.respond(token, response, now);
         }
     }
 
     /// Sends a response and then closes the connection.
-    pub fn respond(&mut self, token: Token, response: &OperatorResponse) {
+    pub fn respond(&mut self, token: Token, response: &OperatorResponse, now: IntegerMillis) {
         if let Some(connection) = self.connections.get_mut(&token) {
             // A response that cannot be encoded becomes an empty line, which the client reports as an error.
             let line = encode_line(response).unwrap_or_else(|_| vec![LINE_END]);
             connection.response = Some(line);
-            self.write(token);
+            connection.last_write_at = now;
+            self.write(token, now);
         }
     }
 
     /// Writes as much as possible without blocking. Closes the connection if it is finished or broken.
-    fn write(&mut self, token: Token) {
+    fn write(&mut self, token: Token, now: IntegerMillis) {
         let Some(connection) = self.connections.get_mut(&token) else { return };
-        if connection.write() {
+        if connection.write(now) {
             self.connections.remove(&token);
         }
     }
 }
 
+/// The state of a request's line after a read.
+enum LineState {
+    Complete(Vec<u8>),
+    Incomplete,
+    /// Longer than [`MAX_LINE_BYTES`].
+    TooLong,
+    /// The client has closed the connection before the end of the line, or reading failed.
+    Closed,
+}
+
 impl OperatorConnection {
-    /// Reads all available bytes. Returns whether the client has closed the connection before its response.
-    fn read(&mut self) -> Result<bool, RequestError> {
-        let mut bytes = [0; 4096];
+    fn new(stream: UnixStream, now: IntegerMillis) -> OperatorConnection {
+        OperatorConnection {
+            stream,
+            opened_at: now,
+            line: Vec::new(),
+            has_request: false,
+            response: None,
+            last_write_at: now,
+            awaited_request: None,
+        }
+    }
+
+    fn is_timed_out(&self, now: IntegerMillis) -> bool {
+        let is_request_late = !self.has_request && now >= self.opened_at + REQUEST_TIMEOUT_MILLIS;
+        let is_stalled = self.response.is_some() && now >= self.last_write_at + WRITE_TIMEOUT_MILLIS;
+        is_request_late || is_stalled
+    }
+
+    /// Reads the bytes that are available, up to the end of the line.
+    fn read_line(&mut self) -> LineState {
+        let mut bytes = [0; READ_BUFFER_BYTES];
         loop {
             match self.stream.read(&mut bytes) {
-                Ok(0) => return Ok(self.response.is_none()),
-                Ok(count) if self.line.len() + count > MAX_LINE_BYTES => {
-                    self.line.clear();
-                    return Err(RequestError::TooLong);
+                Ok(0) => return LineState::Closed,
+                Ok(count) => {
+                    let line_end = bytes[..count].iter().position(|byte| *byte == LINE_END);
+                    self.line.extend_from_slice(&bytes[..line_end.unwrap_or(count)]);
+                    if self.line.len() > MAX_LINE_BYTES {
+                        self.take_line();
+                        return LineState::TooLong;
+                    }
+                    if line_end.is_some() {
+                        return LineState::Complete(self.take_line());
+                    }
                 }
-                Ok(count) => self.line.extend_from_slice(&bytes[..count]),
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(false),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return LineState::Incomplete,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return Ok(true),
+                Err(_) => return LineState::Closed,
             }
         }
     }
 
+    fn take_line(&mut self) -> Vec<u8> {
+        self.has_request = true;
+        std::mem::take(&mut self.line)
+    }
+
+    /// Whether the client has closed the connection. Input after the request is discarded.
+    fn is_closed_by_peer(&mut self) -> bool {
+        match self.stream.read(&mut [0; READ_BUFFER_BYTES]) {
+            Ok(count) => count == 0,
+            Err(error) => !matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+        }
+    }
+
     /// Writes as much as possible without blocking. Returns whether the response is written or the connection is broken.
-    fn write(&mut self) -> bool {
+    fn write(&mut self, now: IntegerMillis) -> bool {
         let Some(response) = &mut self.response else { return false };
         while !response.is_empty() {
             match self.stream.write(response) {
-                Ok(count) => drop(response.drain(..count)),
+                Ok(count) => {
+                    response.drain(..count);
+                    self.last_write_at = now;
+                }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return false,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(_) => return true,
--- a/crates/loomflow-server/tests/fleet_listeners.rs
+++ b/crates/loomflow-server/tests/fleet_listeners.rs
@@ -1,19 +1,23 @@
-//! Clients that misuse the listeners of the fleet's thread. The server must stay within its memory limit and answer everyone
-//! else.
+//! Clients that misuse the listeners of the fleet's thread: the one for other members and the operators' socket. The server
+//! must stay within its memory limit and answer everyone else.
 
 mod common;
 
 use std::io::Write;
 use std::net::TcpStream;
+use std::os::unix::net::UnixStream;
 use std::time::Duration;
 
 use common::fleet::*;
+use loomflow_fleet::operator::MAX_LINE_BYTES;
 use loomflow_fleet::wire::MAX_MESSAGE_BYTES;
 use loomflow_test_servers::fleet::{Fleet, Plan};
 
 const PLAN: Plan = Plan { extra: "  duties: {lease_s: 10}\n", ..FOUR_MEMBERS };
 /// Memory limit of a server in the configuration of the test servers, KB.
 const MEMORY_LIMIT_KB: usize = 192 * 1024;
+/// Number of connections to the operators' socket, more than it accepts at once.
+const OPERATOR_CONNECTIONS: usize = 100;
 
 /// Peak of the resident memory of a member's process, KB.
 fn peak_memory_kb(fleet: &Fleet, member: usize) -> usize {
@@ -23,6 +27,14 @@
     peak.trim().trim_end_matches(" kB").parse().expect("the peak is a number of KB")
 }
 
+/// Connects to the operators' socket of a member; `None` if the connection cannot be opened or `bytes` cannot be sent.
+fn open_operator_connection(fleet: &Fleet, member: usize, bytes: &[u8]) -> Option<UnixStream> {
+    let mut stream = UnixStream::connect(fleet.members[member].state.with_extension("sock")).ok()?;
+    stream.set_write_timeout(Some(Duration::from_secs(1))).ok()?;
+    stream.write_all(bytes).ok()?;
+    Some(stream)
+}
+
 /// Guards against a process that is killed for memory because many senders stop half way through a long message.
 #[test]
 fn partial_messages_of_unknown_senders_stay_within_the_memory_limit() {
@@ -43,3 +55,27 @@
     expect_serving(&fleet, 0);
     fleet.wait_until("the member is in contact with the leader", |fleet| fleet.leader(0).is_some());
 }
+
+/// Guards against an operators' socket that accepts nobody any more because clients connected and sent nothing.
+#[test]
+fn idle_connections_do_not_block_the_operators_socket() {
+    let fleet = Fleet::start_bootstrapped(PLAN);
+    let open: Vec<_> = (0..OPERATOR_CONNECTIONS).map(|_| open_operator_connection(&fleet, 0, b"")).collect();
+    expect_success(&fleet, 0, &["status"]);
+    drop(open);
+}
+
+/// Guards against an operators' socket that accepts nobody any more, for good, because clients left before the end of their
+/// request, and against a process that is killed for the memory of their requests.
+#[test]
+fn incomplete_requests_do_not_block_the_operators_socket() {
+    let fleet = Fleet::start_bootstrapped(PLAN);
+    let request = vec![b'x'; MAX_LINE_BYTES - 1];
+    let open: Vec<_> =
+        (0..OPERATOR_CONNECTIONS).map(|_| open_operator_connection(&fleet, 0, &request)).collect();
+    let peak = peak_memory_kb(&fleet, 0);
+    assert!(peak < MEMORY_LIMIT_KB, "{peak} KB of {MEMORY_LIMIT_KB} KB\n{}", fleet.diagnostics());
+    expect_success(&fleet, 0, &["status"]);
+    drop(open);
+    expect_success(&fleet, 0, &["status"]);
+}
