Keep idle connections to the fleet's listener from using up the descriptors

Cause: up to 1,024 connections of unknown senders were kept for a minute, and the budget had no descriptors for the fleet. Change: 64 connections without a valid message, for at most 30 s, the oldest closed first; up to 192 descriptors are kept from the gateways if there is a fleet. `partial_messages` is `incoming_limits` now.

--- a/crates/loomflow-server/src/budget.rs
+++ b/crates/loomflow-server/src/budget.rs
@@ -10,6 +10,10 @@
 /// Descriptors for all uses but connections of gateways and to the ledger: standard streams, the listening socket, the poller,
 /// signals, and the links to the engine and the control plane, where a former link may be open beside the current one.
 const RESERVED_DESCRIPTORS: usize = 24;
+/// Descriptors for the fleet's thread, if there is one: 64 unknown senders, 64 operators' connections, and links with members.
+const FLEET_DESCRIPTORS: usize = 192;
+/// The fleet's thread has at most this fraction (numerator, denominator) of a low limit on descriptors.
+const MAX_FLEET_SHARE: (usize, usize) = (3, 16);
 /// Above this fraction (numerator, denominator) of the maximum of gateway connections the longest idle ones are closed.
 const NEAR_CAPACITY: (usize, usize) = (3, 4);
 
@@ -67,13 +71,16 @@
 impl Budget {
     /// Divides the limits of the configuration. `open_files` is the operating system's limit on descriptors of this process,
     /// if there is one. The lower limit on descriptors applies: above the system's limit, connections of gateways would use up
-    /// the descriptors for the links to engine, ledger and control plane.
-    pub fn new(config: &Config, open_files: Option<usize>) -> Budget {
+    /// the descriptors for the links to engine, ledger and control plane. `has_fleet` is whether the server is a member of a
+    /// fleet.
+    pub fn new(config: &Config, open_files: Option<usize>, has_fleet: bool) -> Budget {
         let descriptors = open_files.map_or(config.sockets, |limit| limit.min(config.sockets));
         let max_ledger_connections =
             (descriptors / DESCRIPTORS_PER_LEDGER_CONNECTION).max(MIN_LEDGER_CONNECTIONS);
+        let fleet_descriptors = FLEET_DESCRIPTORS.min(descriptors * MAX_FLEET_SHARE.0 / MAX_FLEET_SHARE.1);
+        let fleet_descriptors = if has_fleet { fleet_descriptors } else { 0 };
         let max_gateway_connections = descriptors
-            .saturating_sub(max_ledger_connections + RESERVED_DESCRIPTORS)
+            .saturating_sub(max_ledger_connections + RESERVED_DESCRIPTORS + fleet_descriptors)
             .max(descriptors / 2)
             .max(1);
         let memory_part_bytes = config.memory_mb.saturating_mul(1024 * 1024) / MEMORY_PARTS;
--- a/crates/loomflow-server/src/budget/tests.rs
+++ b/crates/loomflow-server/src/budget/tests.rs
@@ -11,7 +11,7 @@
 #[test]
 fn parts_stay_within_the_limits() {
     for (sockets, memory_mb) in [(384, 32), (512, 48), (1024, 192)] {
-        let budget = Budget::new(&config(sockets, memory_mb), None);
+        let budget = Budget::new(&config(sockets, memory_mb), None, false);
         assert!(
             budget.max_gateway_connections + budget.max_ledger_connections + RESERVED_DESCRIPTORS
                 <= sockets as usize
@@ -37,11 +37,19 @@
 #[test]
 fn lower_limit_on_descriptors_applies() {
     let config = config(1024, 192);
-    let limited = Budget::new(&config, Some(128));
+    let limited = Budget::new(&config, Some(128), false);
     assert!(
         limited.max_gateway_connections + limited.max_ledger_connections + RESERVED_DESCRIPTORS <= 128,
         "{limited:?}"
     );
-    assert_eq!(Budget::new(&config, Some(1024)), Budget::new(&config, None));
-    assert_eq!(Budget::new(&config, Some(4096)), Budget::new(&config, None));
+    assert_eq!(Budget::new(&config, Some(1024), false), Budget::new(&config, None, false));
+    assert_eq!(Budget::new(&config, Some(4096), false), Budget::new(&config, None, false));
+}
+
+#[test]
+fn a_fleet_has_descriptors_of_its_own() {
+    let config = config(1024, 192);
+    let (alone, member) = (Budget::new(&config, None, false), Budget::new(&config, None, true));
+    assert_eq!(alone.max_gateway_connections - member.max_gateway_connections, FLEET_DESCRIPTORS);
+    assert!(member.max_gateway_connections >= 512);
 }
--- a/crates/loomflow-server/src/fleet/incoming_links.rs
+++ b/crates/loomflow-server/src/fleet/incoming_links.rs
@@ -1,5 +1,5 @@
-//! Connections from other members, which are only read. Whoever can reach the listener can open one, so their number and the
-//! memory of messages received in part are bounded; `partial_messages` decides which of them are closed.
+//! Connections from other members, which are only read. Whoever can reach the listener can open one, so the number of
+//! unknown senders and the memory of messages received in part are bounded; `incoming_limits` decides which of them are closed.
 
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read};
@@ -9,8 +9,8 @@
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 
+use super::incoming_limits::{self, LinkProgress};
 use super::links::{IDLE_TIMEOUT_MILLIS, MAX_CONNECTIONS};
-use super::partial_messages::{self, LinkProgress};
 use crate::log;
 
 /// A connection is closed after this time without a message, ms: later than its sender closes it.
@@ -23,7 +23,10 @@
 struct IncomingLink {
     stream: TcpStream,
     frames: FrameReader,
+    opened_at: IntegerMillis,
     last_read_at: IntegerMillis,
+    /// Whether a valid message of this fleet was received.
+    is_member: bool,
     /// When the first bytes of the message were read that is received in part; `None` if there is none.
     message_started_at: Option<IntegerMillis>,
 }
@@ -32,6 +35,8 @@
     fn progress(&self) -> LinkProgress {
         LinkProgress {
             buffer_bytes: self.frames.buffer_bytes(),
+            opened_at: self.opened_at,
+            is_member: self.is_member,
             last_read_at: self.last_read_at,
             message_started_at: self.message_started_at,
         }
@@ -47,8 +52,13 @@
 }
 
 impl IncomingLinks {
-    /// Adds an accepted connection. Beyond the maximum, the one idle for longest is closed.
+    /// Adds an accepted connection. Beyond the maximum of unknown senders the oldest of them is closed, and beyond that of all
+    /// connections the one idle for longest.
     pub fn insert(&mut self, token: Token, stream: TcpStream, now: IntegerMillis) {
+        let links = self.links.iter().map(|(token, link)| (*token, link.progress()));
+        if let Some(unknown) = incoming_limits::excess_unknown_sender(links) {
+            self.close(unknown);
+        }
         if self.links.len() >= MAX_CONNECTIONS
             && let Some(oldest) = self.links.iter().min_by_key(|(_, link)| link.last_read_at).map(|(t, _)| *t)
         {
@@ -57,7 +67,9 @@
         let link = IncomingLink {
             stream,
             frames: FrameReader::default(),
+            opened_at: now,
             last_read_at: now,
+            is_member: false,
             message_started_at: None,
         };
         self.links.insert(token, link);
@@ -101,9 +113,9 @@
 
     /// Closes connections while the buffers of all together exceed their bound.
     fn bound_buffers(&mut self) {
-        while self.buffer_bytes > partial_messages::MAX_BUFFER_BYTES {
+        while self.buffer_bytes > incoming_limits::MAX_BUFFER_BYTES {
             let links = self.links.iter().map(|(token, link)| (*token, link.progress()));
-            let Some(token) = partial_messages::least_progress(links) else { return };
+            let Some(token) = incoming_limits::least_progress(links) else { return };
             log!(
                 part = "fleet",
                 "a connection from another member was closed: all messages received in part exceed the limit"
@@ -112,10 +124,10 @@
         }
     }
 
-    /// Closes connections that are idle, and those on which a message is stalled.
+    /// Closes connections that are idle, those on which a message is stalled, and those of unknown senders.
     pub fn close_timed_out(&mut self, now: IntegerMillis) {
         let is_timed_out = |link: &IncomingLink| {
-            now >= link.last_read_at + INCOMING_IDLE_TIMEOUT_MILLIS || link.progress().is_stalled(now)
+            now >= link.last_read_at + INCOMING_IDLE_TIMEOUT_MILLIS || link.progress().is_timed_out(now)
         };
         let closed: Vec<Token> =
             self.links.iter().filter(|(_, link)| is_timed_out(link)).map(|(t, _)| *t).collect();
@@ -138,6 +150,7 @@
         let mut is_any_complete = false;
         while let Some(frame) = self.frames.next_frame()? {
             handle_message(frame)?;
+            self.is_member = true;
             is_any_complete = true;
         }
         self.frames.release_consumed();
--- a/crates/loomflow-server/src/fleet/mod.rs
+++ b/crates/loomflow-server/src/fleet/mod.rs
@@ -6,8 +6,8 @@
 //! - `driver`: the thread's event loop;
 //! - `node_config`: builds the member's configuration;
 //! - `load`: averages the load and builds its reports;
-//! - `links`: connections to and from other members; `incoming_links`: those from others, with the bounds on
-//!   `partial_messages`;
+//! - `links`: connections to and from other members; `incoming_links`: those from others, within their
+//!   `incoming_limits`;
 //! - `storage`: persists the member's state in the data directory;
 //! - `operator_socket`: the server end of the operators' socket;
 //! - `jobs`: starts and stops the processes of the operators' duties.
@@ -15,13 +15,13 @@
 //! The package `loomflow-fleet-commands` implements the client end of the operators' socket, `loomflow fleet …`.
 
 mod driver;
+mod incoming_limits;
 mod incoming_links;
 mod jobs;
 mod links;
 mod load;
 mod node_config;
 mod operator_socket;
-mod partial_messages;
 mod storage;
 
 use std::io;
--- a/crates/loomflow-server/src/owner/mod.rs
+++ b/crates/loomflow-server/src/owner/mod.rs
@@ -106,7 +106,7 @@
         listener: Listener,
         mailbox: &Arc<Mailbox>,
     ) -> Result<Owner, ServeError> {
-        let budget = Budget::new(&config, budget::open_files_limit());
+        let budget = Budget::new(&config, budget::open_files_limit(), options.fleet.is_some());
         let fronts = Fronts::start(listener, &config, options, &budget, mailbox)?;
         let ready = Arc::new(AtomicBool::new(true));
         let control_plane = control_plane::start(config.control, config.name.clone(), ready.clone());
--- a/crates/loomflow-server/tests/fleet_listeners.rs
+++ b/crates/loomflow-server/tests/fleet_listeners.rs
@@ -9,9 +9,11 @@
 use std::time::Duration;
 
 use common::fleet::*;
+use common::*;
 use loomflow_fleet::operator::MAX_LINE_BYTES;
 use loomflow_fleet::wire::MAX_MESSAGE_BYTES;
 use loomflow_test_servers::fleet::{Fleet, Plan};
+use loomflow_test_servers::*;
 
 const PLAN: Plan = Plan { extra: "  duties: {lease_s: 10}\n", ..FOUR_MEMBERS };
 /// Memory limit of a server in the configuration of the test servers, KB.
@@ -79,3 +81,38 @@
     drop(open);
     expect_success(&fleet, 0, &["status"]);
 }
+
+/// Limit on descriptors of a server with a fleet.
+const DESCRIPTORS: usize = 128;
+
+/// Guards against gateways that are not accepted because connections to the fleet's listener use up the descriptors.
+#[test]
+fn idle_connections_to_the_fleet_leave_descriptors_for_gateways() {
+    let mut fixture = ServerFixture::new(site(LONG_TIMEOUT));
+    fixture.config["limits"]["sockets"] = DESCRIPTORS.into();
+    let listen = loopback_address();
+    let others = [loopback_address(), loopback_address()];
+    let voters =
+        [listen, others[0], others[1]].iter().enumerate().fold(String::new(), |text, (number, address)| {
+            let name = if number == 0 {
+                fixture.config["name"].as_str().unwrap_or_default().to_owned()
+            } else {
+                format!("other-{number}")
+            };
+            text + &format!("    - {{name: {name}, address: \"{address}\"}}\n")
+        });
+    fixture.options(&format!("fleet:\n  name: f\n  listen: {listen}\n  state: state\n  voters:\n{voters}"));
+    fixture.start(&format!("ulimit -n {DESCRIPTORS}; {SERVE}"));
+    let engine = attach(&fixture, "ATTACH 0");
+    fixture.wait_for_service();
+    let idle: Vec<_> =
+        (0..2 * DESCRIPTORS).map_while(|_| TcpStream::connect_timeout(&listen, QUIET_PERIOD).ok()).collect();
+    std::thread::sleep(QUIET_PERIOD);
+    let mut gateways: Vec<Gateway> = (0..DESCRIPTORS / 4).map(|_| fixture.gateway()).collect();
+    for gateway in &mut gateways {
+        gateway.send(&health(1, false));
+        assert_eq!(gateway.response().status, "UP");
+    }
+    assert!(fixture.descriptors() <= DESCRIPTORS, "{}", fixture.descriptors());
+    drop((idle, engine));
+}
