Slow down a peer that sends at full speed on a link of the server

What operators saw: while one peer sent small messages at full speed, memory grew without end and others got no answer. Cause: the drivers of the links to engine, ledger and broker put every message into the unbounded mailbox, and the owner takes all of it as one batch. Evidence: 5 s of heartbeats from a broker: 1,657 MB of 192 MB, no answer to anybody; of notices from an engine: health checks of another process took up to 2.1 s.

--- a/crates/loomflow-server/src/front/amqp/mod.rs
+++ b/crates/loomflow-server/src/front/amqp/mod.rs
@@ -86,7 +86,10 @@
                 Err(reason) => return mailbox.send_broker_event(link, BrokerEvent::Disconnected(reason)),
             };
             mailbox.send_broker_event(link, BrokerEvent::Connected);
-            let deliver = |frames| mailbox.send_broker_event(link, BrokerEvent::FramesReceived(frames));
+            let deliver = |frames| {
+                connection::wait_for_backlog(|| mailbox.has_backlog());
+                mailbox.send_broker_event(link, BrokerEvent::FramesReceived(frames));
+            };
             let (stream, reason) = connection::drive(stream, &handle, Frames::default(), deliver, |_| {});
             mailbox.send_broker_event(link, BrokerEvent::Disconnected(reason));
             connection::lingering_close(stream, reason);
--- a/crates/loomflow-server/src/mailbox.rs
+++ b/crates/loomflow-server/src/mailbox.rs
@@ -79,7 +79,11 @@
     DescriptorClosed,
 }
 
-/// Unbounded queue of events for the owner.
+/// Number of queued events at which the links to engine, ledger and broker stop reading.
+const MAX_BACKLOG_EVENTS: usize = 256;
+
+/// Queue of events for the owner. It is bounded by its senders: gateways by their open requests, and links by
+/// [`Mailbox::has_backlog`].
 #[derive(Default)]
 pub struct Mailbox {
     events: Mutex<Vec<OwnerEvent>>,
@@ -93,6 +97,11 @@
         self.not_empty.notify_one();
     }
 
+    /// Whether so many events are queued that no further input is to be read from a link whose messages need no response.
+    pub fn has_backlog(&self) -> bool {
+        self.events.lock().unwrap_or_else(PoisonError::into_inner).len() >= MAX_BACKLOG_EVENTS
+    }
+
     /// Adds an event on a gateway connection.
     pub fn send_gateway_event(&self, id: ConnectionId, event: GatewayEvent) {
         self.send(OwnerEvent::Front(FrontEvent::Gateway(id, event)));
