Remove state that is derived and paths that stood twice in the last changes

Change: one place releases a recalled duty; `Jobs` passes no calls through to `Workers`; `Mailbox::send_from_link` holds the back pressure that three links repeated; the total of the incoming buffers, whether an operators' connection has its request, and the fleet's descriptors are derived; two timeouts of 5 s are one; a condition that always held is gone. Tests share the check of peak memory and the wait for a new owner.

--- a/crates/loomflow-server/src/budget.rs
+++ b/crates/loomflow-server/src/budget.rs
@@ -3,6 +3,8 @@
 use loomflow_settings::Config;
 use rustix::process::{Resource, getrlimit};
 
+use crate::fleet;
+
 /// One in this many descriptors is for a connection to the ledger.
 const DESCRIPTORS_PER_LEDGER_CONNECTION: usize = 8;
 /// Minimum number of connections to the ledger, however low the limit on descriptors is.
@@ -10,16 +12,19 @@
 /// Descriptors for all uses but connections of gateways and to the ledger: standard streams, the listening socket, the poller,
 /// signals, and the links to the engine and the control plane, where a former link may be open beside the current one.
 const RESERVED_DESCRIPTORS: usize = 24;
-/// Descriptors for the fleet's thread, if there is one: 64 unknown senders, 64 operators' connections, and links with members.
-const FLEET_DESCRIPTORS: usize = 192;
+/// Descriptors for links with members of a fleet.
+const MEMBER_DESCRIPTORS: usize = 64;
+/// Descriptors for the fleet's thread, if there is one.
+const FLEET_DESCRIPTORS: usize =
+    MEMBER_DESCRIPTORS + fleet::MAX_UNKNOWN_SENDERS + fleet::MAX_OPERATOR_CONNECTIONS;
 /// The fleet's thread has at most this fraction (numerator, denominator) of a low limit on descriptors.
 const MAX_FLEET_SHARE: (usize, usize) = (3, 16);
 /// Above this fraction (numerator, denominator) of the maximum of gateway connections the longest idle ones are closed.
 const NEAR_CAPACITY: (usize, usize) = (3, 4);
 
 /// The memory is divided into this many equal parts. One part each is for responses that gateways have not read, cached
-/// results, entries of the idempotency cache with the ids of attempts that have run, and requests. The rest is for the program and for the coroutines' stacks and
-/// buffers (at most 24 KB per connection).
+/// results, entries of the idempotency cache with the ids of attempts that have run, and requests. The rest is for the program
+/// and for the coroutines' stacks and buffers (at most 24 KB per connection).
 const MEMORY_PARTS: usize = 8;
 /// Bytes of one request with its body.
 const REQUEST_BYTES: usize = 2_560;
--- a/crates/loomflow-server/src/connection.rs
+++ b/crates/loomflow-server/src/connection.rs
@@ -18,7 +18,6 @@
 pub use lingering_close::{LINGERING_CLOSE_TIMEOUT, lingering_close};
 pub use runtime::{
     configure_runtime, is_timeout, return_to_worker, set_read_timeout, sleep, to_whole_millis,
-    wait_for_backlog,
 };
 
 #[cfg(test)]
--- a/crates/loomflow-server/src/connection/runtime.rs
+++ b/crates/loomflow-server/src/connection/runtime.rs
@@ -11,9 +11,6 @@
 /// default of 1000 takes much memory. Connections beyond the pool allocate their own stacks.
 const STACK_POOL_SIZE: usize = 128;
 
-/// Interval at which a driver checks whether the owner has handled its backlog.
-const BACKLOG_POLL_INTERVAL: Duration = Duration::from_millis(1);
-
 /// Configures the runtime; must be called before the first connection is opened. All connections share one worker thread:
 /// `may` keeps waits with a timeout in lists that only the worker thread of the connection may access, but it may run a
 /// coroutine on any worker thread.
@@ -37,13 +34,6 @@
     return_to_worker();
 }
 
-/// Suspends the current coroutine while `has_backlog` returns true.
-pub fn wait_for_backlog(has_backlog: impl Fn() -> bool) {
-    while has_backlog() {
-        sleep(BACKLOG_POLL_INTERVAL);
-    }
-}
-
 /// Moves the current coroutine, which may have been resumed on `may`'s timer thread, to the worker thread: yielding puts it
 /// into the worker's queue.
 pub fn return_to_worker() {
--- a/crates/loomflow-server/src/engine.rs
+++ b/crates/loomflow-server/src/engine.rs
@@ -133,10 +133,7 @@
             let reason = match connection::connect_after(address, backoff, &handle) {
                 Err(reason) => reason,
                 Ok(stream) => {
-                    let deliver = |notice| {
-                        connection::wait_for_backlog(|| mailbox.has_backlog());
-                        mailbox.send(OwnerEvent::EngineNotice(link, notice));
-                    };
+                    let deliver = |notice| mailbox.send_from_link(OwnerEvent::EngineNotice(link, notice));
                     let (stream, reason) =
                         connection::drive(stream, &handle, NoticeDecoder::default(), deliver, |_| {});
                     mailbox.send(OwnerEvent::EngineDisconnected(link, reason));
--- a/crates/loomflow-server/src/fleet/driver.rs
+++ b/crates/loomflow-server/src/fleet/driver.rs
@@ -183,7 +183,7 @@
                 self.check_ownership(&duty, worker, now)
             }
             Ok(OperatorRequest::WorkEnded(duty)) => {
-                self.jobs.work_ended(&duty, self.operators.peer_process(connection));
+                self.jobs.workers().ended(&duty, self.operators.peer_process(connection));
                 OperatorResponse::Done
             }
         };
@@ -196,7 +196,7 @@
         let owned = self.node.session_duty(duty);
         let is_recalled = owned.is_some_and(|owned| owned.is_recalled);
         let owned_until = self.node.owned_until();
-        if let Err(error) = self.jobs.ownership_confirmed(duty, worker, is_recalled, owned_until) {
+        if let Err(error) = self.jobs.workers().ownership_confirmed(duty, worker, is_recalled, owned_until) {
             return OperatorResponse::Error(error.to_string());
         }
         OperatorResponse::Owned(OwnershipConfirmation {
--- a/crates/loomflow-server/src/fleet/incoming_links.rs
+++ b/crates/loomflow-server/src/fleet/incoming_links.rs
@@ -47,8 +47,6 @@
 #[derive(Default)]
 pub struct IncomingLinks {
     links: BTreeMap<Token, IncomingLink>,
-    /// Memory of the buffers of all connections, bytes.
-    buffer_bytes: usize,
 }
 
 impl IncomingLinks {
@@ -57,12 +55,12 @@
     pub fn insert(&mut self, token: Token, stream: TcpStream, now: IntegerMillis) {
         let links = self.links.iter().map(|(token, link)| (*token, link.progress()));
         if let Some(unknown) = incoming_limits::excess_unknown_sender(links) {
-            self.close(unknown);
+            self.links.remove(&unknown);
         }
         if self.links.len() >= MAX_CONNECTIONS
             && let Some(oldest) = self.links.iter().min_by_key(|(_, link)| link.last_read_at).map(|(t, _)| *t)
         {
-            self.close(oldest);
+            self.links.remove(&oldest);
         }
         let link = IncomingLink {
             stream,
@@ -75,12 +73,6 @@
         self.links.insert(token, link);
     }
 
-    fn close(&mut self, token: Token) {
-        if let Some(link) = self.links.remove(&token) {
-            self.buffer_bytes -= link.frames.buffer_bytes();
-        }
-    }
-
     /// Reads from a connection and passes each complete message to `handle_message`. Returns the peer and the error if an
     /// invalid message closed the connection.
     pub fn read(
@@ -91,19 +83,16 @@
         handle_message: &mut dyn FnMut(&[u8]) -> Result<(), FrameError>,
     ) -> Option<String> {
         let link = self.links.get_mut(&token)?;
-        let bytes_before = link.frames.buffer_bytes();
-        let result = read(link, now, handle_message);
-        self.buffer_bytes = self.buffer_bytes + link.frames.buffer_bytes() - bytes_before;
-        match result {
+        match read(link, now, handle_message) {
             Ok(ReadResult::Drained) => {}
             Ok(ReadResult::HasMore) => {
                 // Readiness is edge-triggered: reregistering reports it again, after that of the other links.
                 let _ = registry.reregister(&mut link.stream, token, Interest::READABLE);
             }
-            Ok(ReadResult::Closed) => self.close(token),
+            Ok(ReadResult::Closed) => drop(self.links.remove(&token)),
             Err(error) => {
                 let peer = link.stream.peer_addr().map_or_else(|_| "?".into(), |peer| peer.to_string());
-                self.close(token);
+                self.links.remove(&token);
                 return Some(format!("{peer}: {error:?}"));
             }
         }
@@ -111,16 +100,21 @@
         None
     }
 
+    /// Memory of the buffers of all connections, bytes.
+    fn buffer_bytes(&self) -> usize {
+        self.links.values().map(|link| link.frames.buffer_bytes()).sum()
+    }
+
     /// Closes connections while the buffers of all together exceed their bound.
     fn bound_buffers(&mut self) {
-        while self.buffer_bytes > incoming_limits::MAX_BUFFER_BYTES {
+        while self.buffer_bytes() > incoming_limits::MAX_BUFFER_BYTES {
             let links = self.links.iter().map(|(token, link)| (*token, link.progress()));
             let Some(token) = incoming_limits::least_progress(links) else { return };
             log!(
                 part = "fleet",
                 "a connection from another member was closed: all messages received in part exceed the limit"
             );
-            self.close(token);
+            self.links.remove(&token);
         }
     }
 
@@ -129,11 +123,7 @@
         let is_timed_out = |link: &IncomingLink| {
             now >= link.last_read_at + INCOMING_IDLE_TIMEOUT_MILLIS || link.progress().is_timed_out(now)
         };
-        let closed: Vec<Token> =
-            self.links.iter().filter(|(_, link)| is_timed_out(link)).map(|(t, _)| *t).collect();
-        for token in closed {
-            self.close(token);
-        }
+        self.links.retain(|_, link| !is_timed_out(link));
     }
 }
 
--- a/crates/loomflow-server/src/fleet/jobs.rs
+++ b/crates/loomflow-server/src/fleet/jobs.rs
@@ -11,7 +11,7 @@
 use loomflow_fleet::command::FleetResponse;
 use loomflow_fleet::duty::client_session::OwnershipChange;
 use loomflow_fleet::duty::job::{Exit, JobAction, JobRuns};
-use loomflow_fleet::duty::workers::{TooManyWorkers, WorkerId, Workers};
+use loomflow_fleet::duty::workers::{WorkerId, Workers};
 use loomflow_fleet::duty::{DutyName, DutyResponse, OwnedDuty, OwnerUpdate, Token};
 use loomflow_fleet::member::FleetRequestId;
 use loomflow_fleet::node::Node;
@@ -109,24 +109,9 @@
         }
     }
 
-    /// Records that a process is told that this server owns a duty until `owned_until`. `is_recalled` is whether the duty has
-    /// to be released.
-    ///
-    /// # Errors
-    /// Too many processes do the work of the duty.
-    pub fn ownership_confirmed(
-        &mut self,
-        duty: &str,
-        worker: WorkerId,
-        is_recalled: bool,
-        owned_until: IntegerMillis,
-    ) -> Result<(), TooManyWorkers> {
-        self.workers.ownership_confirmed(duty, worker, is_recalled, owned_until)
-    }
-
-    /// Handles the report of a process that its work on a duty has ended.
-    pub fn work_ended(&mut self, duty: &str, worker: WorkerId) {
-        self.workers.ended(duty, worker);
+    /// The processes that may be doing the work of duties.
+    pub fn workers(&mut self) -> &mut Workers {
+        &mut self.workers
     }
 
     /// Handles the response to a write. Returns false if the request `id` is not a write of this module.
@@ -167,13 +152,13 @@
         self.release_recalled(node, now);
     }
 
-    /// Releases the recalled duties without a program here once no process does their work any more. Those with one are
-    /// released by [`JobAction::Release`].
+    /// Releases the recalled duties of which no process does the work any more.
     fn release_recalled(&self, node: &mut Node, now: IntegerMillis) {
         for (duty, _) in node.owned_duties(now) {
             let is_recalled = node.session_duty(&duty).is_some_and(|owned| owned.is_recalled);
             if is_recalled && !self.owned.contains_key(&duty) && !self.workers.is_any_at_work(&duty, now) {
-                release(&duty, node, now);
+                log!(part = "fleet", duty, "the duty is released: no process does its work any more");
+                node.release(&duty, now);
             }
         }
     }
@@ -230,12 +215,8 @@
                     send_signal(child, Signal::TERM);
                 }
             }
-            // Returned again by the next step.
-            Some(JobAction::Release) if self.workers.is_any_at_work(duty, now) => {}
-            Some(JobAction::Release) => {
-                self.owned.remove(duty);
-                release(duty, node, now);
-            }
+            // No run goes on: [`Jobs::release_recalled`] follows in the same tick.
+            Some(JobAction::Release) => drop(self.owned.remove(duty)),
         }
     }
 
@@ -269,12 +250,6 @@
     node.owned_token(duty, now).and_then(|_| node.session_duty(duty)).cloned()
 }
 
-/// Releases a duty of which no process does the work any more.
-fn release(duty: &str, node: &mut Node, now: IntegerMillis) {
-    log!(part = "fleet", duty, "the duty is released: no process does its work any more");
-    node.release(duty, now);
-}
-
 /// The id under which a process of this server's queries ownership.
 fn worker_id(child: &Child) -> WorkerId {
     WorkerId(child.id() as i32)
--- a/crates/loomflow-server/src/fleet/links.rs
+++ b/crates/loomflow-server/src/fleet/links.rs
@@ -26,6 +26,7 @@
 const MAX_QUEUED_MESSAGES: usize = 512;
 /// Maximum number of bytes queued for one connection; a single message may exceed it.
 const MAX_QUEUED_BYTES: usize = 1024 * 1024;
+
 struct OutgoingLink {
     stream: TcpStream,
     address: SocketAddr,
--- a/crates/loomflow-server/src/fleet/mod.rs
+++ b/crates/loomflow-server/src/fleet/mod.rs
@@ -42,9 +42,11 @@
 
 use crate::mailbox::Mailbox;
 use driver::{Driver, MAX_SLEEP, WAKE};
+pub use incoming_limits::MAX_UNKNOWN_SENDERS;
 use jobs::Jobs;
 use links::Links;
 pub use load::{Meter, load_report};
+pub use operator_socket::MAX_CONNECTIONS as MAX_OPERATOR_CONNECTIONS;
 use operator_socket::OperatorSocket;
 
 /// Maximum time for the member to report that it has drained.
--- a/crates/loomflow-server/src/fleet/operator_socket.rs
+++ b/crates/loomflow-server/src/fleet/operator_socket.rs
@@ -19,14 +19,12 @@
 
 /// Maximum number of open connections. Beyond it, the oldest without a complete request is closed; if there is none, the new
 /// one is closed at once.
-const MAX_CONNECTIONS: usize = 64;
+pub const MAX_CONNECTIONS: usize = 64;
 /// Maximum memory of the incomplete requests of all connections, bytes: two requests of maximum length. Beyond it, the oldest
 /// is closed.
 const MAX_INCOMPLETE_BYTES: usize = 2 * MAX_LINE_BYTES;
-/// Maximum time from the opening of a connection to the end of its request, ms.
-const REQUEST_TIMEOUT_MILLIS: IntegerMillis = 5_000;
-/// Maximum time without progress in writing a response, ms.
-const WRITE_TIMEOUT_MILLIS: IntegerMillis = 5_000;
+/// Maximum time from the opening of a connection to the end of its request, and without progress in writing its response, ms.
+const CLIENT_TIMEOUT_MILLIS: IntegerMillis = 5_000;
 /// Bytes read by one system call.
 const READ_BUFFER_BYTES: usize = 4_096;
 /// File mode of the socket: only the server's own user may connect.
@@ -45,15 +43,12 @@
 
 struct OperatorConnection {
     stream: UnixStream,
-    opened_at: IntegerMillis,
+    /// Since when the server waits for the client: the opening, then the last progress of the response.
+    waiting_since: IntegerMillis,
     /// Bytes read of the request's line; released once that is complete.
     line: Vec<u8>,
-    /// Whether the request was read, or rejected as too long. Further input is discarded.
-    has_request: bool,
     /// Bytes of the response that are not written yet; the connection is closed after the last.
     response: Option<Vec<u8>>,
-    /// When bytes of the response were last written, or it became available.
-    last_write_at: IntegerMillis,
     /// The fleet request whose response is sent to this connection.
     awaited_request: Option<FleetRequestId>,
 }
@@ -110,7 +105,7 @@
     /// Closes the oldest connection without a complete request. Returns whether there was one.
     fn close_oldest_incomplete(&mut self) -> bool {
         // Tokens rise in the order of opening.
-        let oldest = self.connections.iter().find(|(_, connection)| !connection.has_request);
+        let oldest = self.connections.iter().find(|(_, connection)| !connection.has_request());
         let Some(token) = oldest.map(|(token, _)| *token) else { return false };
         log!(
             part = "fleet",
@@ -133,7 +128,7 @@
         now: IntegerMillis,
     ) -> Option<Result<OperatorRequest, RequestError>> {
         let connection = self.connections.get_mut(&token)?;
-        if connection.has_request {
+        if connection.has_request() {
             if connection.response.is_some() {
                 self.write(token, now);
             } else if connection.is_closed_by_peer() {
@@ -193,7 +188,7 @@
             // A response that cannot be encoded becomes an empty line, which the client reports as an error.
             let line = encode_line(response).unwrap_or_else(|_| vec![LINE_END]);
             connection.response = Some(line);
-            connection.last_write_at = now;
+            connection.waiting_since = now;
             self.write(token, now);
         }
     }
@@ -221,19 +216,21 @@
     fn new(stream: UnixStream, now: IntegerMillis) -> OperatorConnection {
         OperatorConnection {
             stream,
-            opened_at: now,
+            waiting_since: now,
             line: Vec::new(),
-            has_request: false,
             response: None,
-            last_write_at: now,
             awaited_request: None,
         }
     }
 
+    /// Whether the request was read, or rejected as too long. Further input is discarded.
+    fn has_request(&self) -> bool {
+        self.response.is_some() || self.awaited_request.is_some()
+    }
+
     fn is_timed_out(&self, now: IntegerMillis) -> bool {
-        let is_request_late = !self.has_request && now >= self.opened_at + REQUEST_TIMEOUT_MILLIS;
-        let is_stalled = self.response.is_some() && now >= self.last_write_at + WRITE_TIMEOUT_MILLIS;
-        is_request_late || is_stalled
+        let is_waiting_for_client = self.response.is_some() || !self.has_request();
+        is_waiting_for_client && now >= self.waiting_since + CLIENT_TIMEOUT_MILLIS
     }
 
     /// Reads the bytes that are available, up to the end of the line.
@@ -246,11 +243,11 @@
                     let line_end = bytes[..count].iter().position(|byte| *byte == LINE_END);
                     self.line.extend_from_slice(&bytes[..line_end.unwrap_or(count)]);
                     if self.line.len() > MAX_LINE_BYTES {
-                        self.take_line();
+                        self.line = Vec::new();
                         return LineState::TooLong;
                     }
                     if line_end.is_some() {
-                        return LineState::Complete(self.take_line());
+                        return LineState::Complete(std::mem::take(&mut self.line));
                     }
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return LineState::Incomplete,
@@ -260,11 +257,6 @@
         }
     }
 
-    fn take_line(&mut self) -> Vec<u8> {
-        self.has_request = true;
-        std::mem::take(&mut self.line)
-    }
-
     /// Whether the client has closed the connection. Input after the request is discarded.
     fn is_closed_by_peer(&mut self) -> bool {
         match self.stream.read(&mut [0; READ_BUFFER_BYTES]) {
@@ -280,7 +272,7 @@
             match self.stream.write(response) {
                 Ok(count) => {
                     response.drain(..count);
-                    self.last_write_at = now;
+                    self.waiting_since = now;
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return false,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
--- a/crates/loomflow-server/src/front/amqp/mod.rs
+++ b/crates/loomflow-server/src/front/amqp/mod.rs
@@ -23,7 +23,7 @@
 use crate::connection::{self, ConnectionHandle};
 use crate::idempotency::IdempotencyKey;
 use crate::log;
-use crate::mailbox::{BrokerEvent, LinkId, Mailbox};
+use crate::mailbox::{BrokerEvent, FrontEvent, LinkId, Mailbox, OwnerEvent};
 use crate::time::floor_duration;
 
 /// Interval of the log line with the consumer's counts, which is omitted while they are unchanged.
@@ -87,8 +87,8 @@
             };
             mailbox.send_broker_event(link, BrokerEvent::Connected);
             let deliver = |frames| {
-                connection::wait_for_backlog(|| mailbox.has_backlog());
-                mailbox.send_broker_event(link, BrokerEvent::FramesReceived(frames));
+                let event = FrontEvent::Broker(link, BrokerEvent::FramesReceived(frames));
+                mailbox.send_from_link(OwnerEvent::Front(event));
             };
             let (stream, reason) = connection::drive(stream, &handle, Frames::default(), deliver, |_| {});
             mailbox.send_broker_event(link, BrokerEvent::Disconnected(reason));
--- a/crates/loomflow-server/src/idempotency.rs
+++ b/crates/loomflow-server/src/idempotency.rs
@@ -54,7 +54,7 @@
 }
 
 /// How a request finished, for the response to its duplicates.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug)]
 pub enum Completion<'a> {
     /// The request was served with this result.
     Served(&'a [u8]),
--- a/crates/loomflow-server/src/ledger.rs
+++ b/crates/loomflow-server/src/ledger.rs
@@ -14,7 +14,7 @@
 use loomflow_protocol::ledger::{self, ReplyDecoder, ReplyStatus};
 
 use crate::close_reason::CloseReason;
-use crate::connection::{ConnectionHandle, connect_after, drive, wait_for_backlog};
+use crate::connection::{ConnectionHandle, connect_after, drive};
 use crate::log;
 use crate::mailbox::{LinkId, Mailbox, OwnerEvent};
 use connection::LedgerConnection;
@@ -105,10 +105,7 @@
             let reason = match connect_after(address, Duration::ZERO, &handle) {
                 Err(reason) => reason,
                 Ok(stream) => {
-                    let deliver = |reply| {
-                        wait_for_backlog(|| mailbox.has_backlog());
-                        mailbox.send(OwnerEvent::LedgerReply(link, reply));
-                    };
+                    let deliver = |reply| mailbox.send_from_link(OwnerEvent::LedgerReply(link, reply));
                     drive(stream, &handle, ReplyDecoder::default(), deliver, |_| {}).1
                 }
             };
--- a/crates/loomflow-server/src/mailbox.rs
+++ b/crates/loomflow-server/src/mailbox.rs
@@ -11,7 +11,7 @@
 use loomflow_settings::{Config, ConfigError};
 
 use crate::close_reason::CloseReason;
-use crate::connection::ConnectionHandle;
+use crate::connection::{self, ConnectionHandle};
 
 /// Identifies a gateway connection; unique in the lifetime of the process.
 pub type ConnectionId = u64;
@@ -81,9 +81,11 @@
 
 /// Number of queued events at which the links to engine, ledger and broker stop reading.
 const MAX_BACKLOG_EVENTS: usize = 256;
+/// Interval at which a link checks whether the owner has handled its backlog.
+const BACKLOG_POLL_INTERVAL: Duration = Duration::from_millis(1);
 
 /// Queue of events for the owner. It is bounded by its senders: gateways by their open requests, and links by
-/// [`Mailbox::has_backlog`].
+/// [`Mailbox::send_from_link`].
 #[derive(Default)]
 pub struct Mailbox {
     events: Mutex<Vec<OwnerEvent>>,
@@ -97,8 +99,16 @@
         self.not_empty.notify_one();
     }
 
-    /// Whether so many events are queued that no further input is to be read from a link whose messages need no response.
-    pub fn has_backlog(&self) -> bool {
+    /// Adds an event that a message on a link to a peer has caused. While [`MAX_BACKLOG_EVENTS`] are queued, suspends the
+    /// calling coroutine, so that nothing more is read from the link.
+    pub fn send_from_link(&self, event: OwnerEvent) {
+        while self.has_backlog() {
+            connection::sleep(BACKLOG_POLL_INTERVAL);
+        }
+        self.send(event);
+    }
+
+    fn has_backlog(&self) -> bool {
         self.events.lock().unwrap_or_else(PoisonError::into_inner).len() >= MAX_BACKLOG_EVENTS
     }
 
--- a/crates/loomflow-server/src/owner/requests.rs
+++ b/crates/loomflow-server/src/owner/requests.rs
@@ -165,7 +165,7 @@
     /// Removes a request from the table, and responds to the duplicates that waited for its result.
     pub(super) fn remove(&mut self, id: RequestId, completion: Completion) {
         if let Some(entry) = self.requests.remove(id) {
-            if entry.is_run() && completion != Completion::NotRun {
+            if !matches!(completion, Completion::NotRun) {
                 self.started_attempts.record(entry.attempt_id, self.now.ms);
             }
             if let Some(original) = entry.original {
--- a/crates/loomflow-server/src/request_table.rs
+++ b/crates/loomflow-server/src/request_table.rs
@@ -87,17 +87,13 @@
         self.pending_command.as_ref().is_some_and(|pending| pending.command == SentCommand::Run)
     }
 
-    /// Whether the request has a run of its own that was sent to the engine or is to be sent.
-    pub fn is_run(&self) -> bool {
-        matches!(self.progress, Progress::Running | Progress::AwaitingCall)
-    }
-
     /// Whether the engine may have started the run.
     pub fn may_have_started(&self) -> bool {
         let is_run_not_sent = |pending: &PendingCommand| {
             pending.command == SentCommand::Run && pending.delivery == Delivery::NotSent
         };
-        self.is_run() && !self.pending_command.as_ref().is_some_and(is_run_not_sent)
+        matches!(self.progress, Progress::Running | Progress::AwaitingCall)
+            && !self.pending_command.as_ref().is_some_and(is_run_not_sent)
     }
 }
 
--- a/crates/loomflow-server/tests/common/fleet.rs
+++ b/crates/loomflow-server/tests/common/fleet.rs
@@ -100,3 +100,10 @@
     fleet.wait_until("the duty has an owner", |fleet| owner(fleet, observer, duty).is_some());
     owner(fleet, observer, duty).expect("the duty still has an owner")
 }
+
+/// Waits until `observer` reports an owner of a duty other than `former`.
+pub fn wait_for_new_owner(fleet: &Fleet, observer: usize, duty: &str, former: usize) {
+    fleet.wait_until("another member owns the duty", |fleet| {
+        owner(fleet, observer, duty).is_some_and(|owner| owner != former)
+    });
+}
--- a/crates/loomflow-server/tests/common/mod.rs
+++ b/crates/loomflow-server/tests/common/mod.rs
@@ -15,6 +15,18 @@
 
 // ---- Servers ----
 
+/// Memory limit of a server in the configuration of the test servers, KB.
+pub const MEMORY_LIMIT_KB: usize = 192 * 1024;
+
+/// Expects that the peak of a server's resident memory is within [`MEMORY_LIMIT_KB`].
+pub fn expect_peak_within_memory_limit(fixture: &ServerFixture) {
+    let status =
+        std::fs::read_to_string(format!("/proc/{}/status", fixture.pid())).expect("the process runs");
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("the peak is reported");
+    let peak: usize = peak.trim().trim_end_matches(" kB").parse().expect("the peak is a number of KB");
+    assert!(peak < MEMORY_LIMIT_KB, "{peak} KB of {MEMORY_LIMIT_KB} KB");
+}
+
 /// Starts a server with a scripted engine; `configure` changes the configuration before the start. Returns the engine's
 /// connection, too.
 pub fn start_configured(
--- a/crates/loomflow-server/tests/duties.rs
+++ b/crates/loomflow-server/tests/duties.rs
@@ -47,13 +47,6 @@
     written_tokens(fleet).last().copied().unwrap_or(0)
 }
 
-/// Waits until `observer` reports an owner of a duty other than `former`.
-fn wait_for_new_owner(fleet: &Fleet, observer: usize, duty: &str, former: usize) {
-    fleet.wait_until("another member owns the duty", |fleet| {
-        owner(fleet, observer, duty).is_some_and(|owner| owner != former)
-    });
-}
-
 /// As [`wait_for_owner`], then waits until the owner itself confirms that it owns the duty: the leader assigns the duty
 /// before its owner is informed.
 fn wait_for_informed_owner(fleet: &Fleet, observer: usize, duty: &str) -> usize {
--- a/crates/loomflow-server/tests/duty_handover.rs
+++ b/crates/loomflow-server/tests/duty_handover.rs
@@ -77,9 +77,7 @@
     let former = wait_for_owner(&fleet, 0, "by-hand");
     let mut processes = [start_work(&fleet, former, "short", 0), start_work(&fleet, former, "long", 6)];
     expect_success(&fleet, 0, &["duty", "release", "by-hand"]);
-    fleet.wait_until("another member owns the duty", |fleet| {
-        owner(fleet, 0, "by-hand").is_some_and(|owner| owner != former)
-    });
+    wait_for_new_owner(&fleet, 0, "by-hand", former);
     let lines = lines(&fleet);
     assert_eq!(lines[2..], ["ended short", "ended long"], "{}", fleet.diagnostics());
     let codes = processes.each_mut().map(|process| process.wait().expect("the process ends").code());
--- a/crates/loomflow-server/tests/fleet_listeners.rs
+++ b/crates/loomflow-server/tests/fleet_listeners.rs
@@ -16,19 +16,9 @@
 use loomflow_test_servers::*;
 
 const PLAN: Plan = Plan { extra: "  duties: {lease_s: 10}\n", ..FOUR_MEMBERS };
-/// Memory limit of a server in the configuration of the test servers, KB.
-const MEMORY_LIMIT_KB: usize = 192 * 1024;
 /// Number of connections to the operators' socket, more than it accepts at once.
 const OPERATOR_CONNECTIONS: usize = 100;
 
-/// Peak of the resident memory of a member's process, KB.
-fn peak_memory_kb(fleet: &Fleet, member: usize) -> usize {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", fleet.members[member].fixture.pid()));
-    let status = status.expect("the process runs");
-    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("the peak is reported");
-    peak.trim().trim_end_matches(" kB").parse().expect("the peak is a number of KB")
-}
-
 /// Connects to the operators' socket of a member; `None` if the connection cannot be opened or `bytes` cannot be sent.
 fn open_operator_connection(fleet: &Fleet, member: usize, bytes: &[u8]) -> Option<UnixStream> {
     let mut stream = UnixStream::connect(fleet.members[member].state.with_extension("sock")).ok()?;
@@ -52,8 +42,7 @@
         let _ = stream.write_all(&message);
         open.push(stream);
     }
-    let peak = peak_memory_kb(&fleet, 0);
-    assert!(peak < MEMORY_LIMIT_KB, "{peak} KB of {MEMORY_LIMIT_KB} KB\n{}", fleet.diagnostics());
+    expect_peak_within_memory_limit(&fleet.members[0].fixture);
     expect_serving(&fleet, 0);
     fleet.wait_until("the member is in contact with the leader", |fleet| fleet.leader(0).is_some());
 }
@@ -75,8 +64,7 @@
     let request = vec![b'x'; MAX_LINE_BYTES - 1];
     let open: Vec<_> =
         (0..OPERATOR_CONNECTIONS).map(|_| open_operator_connection(&fleet, 0, &request)).collect();
-    let peak = peak_memory_kb(&fleet, 0);
-    assert!(peak < MEMORY_LIMIT_KB, "{peak} KB of {MEMORY_LIMIT_KB} KB\n{}", fleet.diagnostics());
+    expect_peak_within_memory_limit(&fleet.members[0].fixture);
     expect_success(&fleet, 0, &["status"]);
     drop(open);
     expect_success(&fleet, 0, &["status"]);
@@ -91,16 +79,11 @@
     let mut fixture = ServerFixture::new(site(LONG_TIMEOUT));
     fixture.config["limits"]["sockets"] = DESCRIPTORS.into();
     let listen = loopback_address();
-    let others = [loopback_address(), loopback_address()];
-    let voters =
-        [listen, others[0], others[1]].iter().enumerate().fold(String::new(), |text, (number, address)| {
-            let name = if number == 0 {
-                fixture.config["name"].as_str().unwrap_or_default().to_owned()
-            } else {
-                format!("other-{number}")
-            };
-            text + &format!("    - {{name: {name}, address: \"{address}\"}}\n")
-        });
+    let name = fixture.config["name"].as_str().expect("the server has a name").to_owned();
+    let voters: String =
+        [(name.as_str(), listen), ("other-1", loopback_address()), ("other-2", loopback_address())]
+            .map(|(name, address)| format!("    - {{name: {name}, address: \"{address}\"}}\n"))
+            .concat();
     fixture.options(&format!("fleet:\n  name: f\n  listen: {listen}\n  state: state\n  voters:\n{voters}"));
     fixture.start(&format!("ulimit -n {DESCRIPTORS}; {SERVE}"));
     let engine = attach(&fixture, "ATTACH 0");
--- a/crates/loomflow-server/tests/flooding_peers.rs
+++ b/crates/loomflow-server/tests/flooding_peers.rs
@@ -12,8 +12,6 @@
 
 /// How long the broker floods its link.
 const FLOOD_DURATION: Duration = Duration::from_secs(3);
-/// Memory limit of the server, KB.
-const MEMORY_LIMIT_KB: usize = 192 * 1024;
 /// The AMQP 0-9-1 method `connection.start`, version 0-9, without properties.
 const START: &[u8] = b"\x01\x00\x00\x00\x00\x00\x1c\x00\x0a\x00\x0a\x00\x09\x00\x00\x00\x00\x00\x00\x00\x05PLAIN\x00\x00\x00\x05en_US\xce";
 /// A heartbeat frame.
@@ -33,13 +31,6 @@
     Ok(())
 }
 
-fn peak_memory_kb(fixture: &ServerFixture) -> usize {
-    let status =
-        std::fs::read_to_string(format!("/proc/{}/status", fixture.pid())).expect("the process runs");
-    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("the peak is reported");
-    peak.trim().trim_end_matches(" kB").parse().expect("the peak is a number of KB")
-}
-
 /// Guards against memory without a bound, and gateways without answers, while a broker sends small frames at full speed.
 #[test]
 fn a_broker_that_sends_at_full_speed_does_not_exhaust_memory() {
@@ -60,7 +51,6 @@
         gateway.response();
         thread::sleep(Duration::from_millis(5));
     }
-    let peak = peak_memory_kb(&fixture);
-    assert!(peak < MEMORY_LIMIT_KB, "{peak} KB of {MEMORY_LIMIT_KB} KB");
+    expect_peak_within_memory_limit(&fixture);
     serve_request(&mut gateway, &engine, tag + 1, "pay", 1);
 }
