Let the test broker send heartbeats and break a connection that settles a message

The test broker proposed a heartbeat interval and never sent a heartbeat, which AMQP 0-9-1 (4.2.7) asks of both sides: the server closed an idle link after two intervals, so that no test saw a connection that lives long. It now sends one in each half interval that is idle, unless it is stalled. `Faults::lose_settlements` breaks the connection at a method that settles a delivery, which the broker then has not received; frames of a closed connection are ignored.

`an_idle_connection_with_heartbeats_stays_open` is new: without the heartbeats its connection is closed and opened again.

--- a/crates/loomflow-server/tests/amqp.rs
+++ b/crates/loomflow-server/tests/amqp.rs
@@ -6,96 +6,12 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use common::{LONG_TIMEOUT, SERVE, reload};
+use common::amqp::*;
+use common::{SERVE, reload};
 use loomflow_test_servers::autonomous_engine::result_of;
 use loomflow_test_servers::broker::{AMQPFrame, Broker, Message, Settled, message};
 use loomflow_test_servers::*;
 
-const RUN_DURATION: Duration = Duration::from_millis(5);
-
-/// Options of a server that consumes the queue `jobs`; `more` holds additional lines of the `amqp` section.
-fn options(brokers: &[&Broker], more: &str) -> String {
-    let brokers: Vec<String> = brokers.iter().map(|broker| format!("\"{}\"", broker.address)).collect();
-    format!(
-        "amqp:\n  brokers: [{}]\n  credentials: CREDENTIALS\n  dead_letter: {{routing_key: dead}}\n{more}
-  queues:\n    - {{name: jobs, class: book, tenant: acme}}\n",
-        brokers.join(", ")
-    )
-}
-
-/// Starts a broker with the queues of the tests, and an engine with `cores` cores.
-fn start_peers(cores: usize) -> (Broker, AutonomousEngine) {
-    (Broker::with_jobs(), AutonomousEngine::start(cores, RUN_DURATION))
-}
-
-/// Starts a server with an options file.
-fn serve(options: &str, worker: &AutonomousEngine) -> ServerFixture {
-    ServerFixture::start_with(site(LONG_TIMEOUT), options, worker)
-}
-
-fn start_serving() -> (Broker, AutonomousEngine, ServerFixture) {
-    let (broker, worker) = start_peers(4);
-    let fixture = serve(&options(&[&broker], ""), &worker);
-    (broker, worker, fixture)
-}
-
-/// A message with id `j<id>` and a reply to `replies` under the correlation id `c-j<id>`.
-fn job(id: usize) -> Message {
-    let id = format!("j{id}");
-    message("jobs", &id, id.as_bytes()).reply_to("replies", &format!("c-{id}"))
-}
-
-fn publish_jobs(broker: &Broker, ids: std::ops::Range<usize>) {
-    for id in ids {
-        broker.publish(job(id));
-    }
-}
-
-/// Takes the next message of the queue `replies`.
-fn next_reply(broker: &Broker) -> Message {
-    broker.wait_for_messages("replies", 1).swap_remove(0)
-}
-
-/// Takes the next message of the dead-letter queue.
-fn next_dead_letter(broker: &Broker) -> Message {
-    broker.wait_for_messages("dead", 1).swap_remove(0)
-}
-
-fn reason(message: &Message) -> Option<String> {
-    message.header_text("x-loomflow-reason")
-}
-
-/// Expects a reply that reports a failure and that the message may have run.
-fn expect_uncertain_failure(reply: &Message) {
-    let ran = reply.header_text("x-loomflow-ran");
-    assert_eq!((reply.kind().as_str(), ran.as_deref()), ("failed", Some("perhaps")));
-}
-
-fn expect_no_run_twice(worker: &AutonomousEngine) {
-    let counts = worker.run_counts();
-    assert!(counts.values().all(|count| *count == 1), "{counts:?}");
-}
-
-/// Expects that `count` jobs ran, each once, and that none was dead-lettered.
-fn expect_run_once(broker: &Broker, worker: &AutonomousEngine, count: usize) {
-    expect_no_run_twice(worker);
-    assert_eq!(worker.run_count(), count);
-    assert!(broker.take("dead").is_empty());
-}
-
-/// Expects that each of `count` jobs ran once, got one reply and was settled.
-fn expect_all_served_once(broker: &Broker, worker: &AutonomousEngine, count: usize) {
-    broker.wait_until_empty("jobs");
-    let replies = broker.wait_for_messages("replies", count);
-    let correlations: BTreeSet<String> = replies.iter().map(Message::correlation).collect();
-    assert_eq!((replies.len(), correlations.len()), (count, count));
-    for reply in replies {
-        let id = reply.correlation()[2..].to_owned();
-        assert_eq!((reply.kind().as_str(), reply.body), ("served", result_of(id.as_bytes())));
-    }
-    expect_run_once(broker, worker, count);
-}
-
 #[test]
 fn messages_run_once_get_a_reply_and_are_acked() {
     let (broker, worker, _fixture) = start_serving();
@@ -150,54 +66,6 @@
     assert_eq!(broker.wait_for_messages("dead", 2).len(), 2);
 }
 
-#[test]
-fn a_lost_ack_does_not_repeat_a_confirmed_reply() {
-    let (broker, worker, _fixture) = start_serving();
-    // A message whose ack was lost still counts towards the prefetch limit, which starts at one and grows to two.
-    broker.faults(|faults| faults.forget_acks = 2);
-    publish_jobs(&broker, 0..2);
-    assert_eq!(broker.wait_for_messages("replies", 2).len(), 2);
-    broker.wait_until("the acks are lost", |state| state.faults.forget_acks == 0);
-    broker.disconnect_all();
-    broker.wait_until_empty("jobs");
-    assert!(broker.take("replies").is_empty());
-    assert_eq!(worker.run_count(), 2);
-}
-
-#[test]
-fn an_expired_message_is_dead_lettered_immediately() {
-    let (broker, worker) = start_peers(4);
-    let options = options(&[&broker], "").replace("acme}", "acme, sent_from: timestamp_in_ms}");
-    let _fixture = serve(&options, &worker);
-    broker.publish(job(1).with_number_header("timestamp_in_ms", 1));
-    let reply = next_reply(&broker);
-    let headers =
-        ["x-loomflow-reason", "x-loomflow-ran"].map(|name| reply.header_text(name).unwrap_or_default());
-    assert_eq!((reply.kind().as_str(), headers), ("failed", ["out-of-time", "no"].map(str::to_owned)));
-    assert!(reply.header_text("x-loomflow-holdoff").is_some());
-    assert_eq!(reason(&next_dead_letter(&broker)).as_deref(), Some("out-of-time"));
-    // A message sent just now, one with a timestamp in the future and one without a timestamp are run.
-    broker.publish(job(2).with_sent_time());
-    broker.publish(job(3).with_number_header("timestamp_in_ms", i64::MAX));
-    broker.publish(job(4));
-    assert!(broker.wait_for_messages("replies", 3).iter().all(|reply| reply.kind() == "served"));
-    broker.wait_until_empty("jobs");
-    assert_eq!(worker.run_count(), 3);
-}
-
-#[test]
-fn an_unconfirmed_reply_is_resent_without_a_second_run() {
-    let (broker, worker, _fixture) = start_serving();
-    broker.faults(|faults| faults.unconfirmed = 1);
-    broker.publish(job(1));
-    let first = next_reply(&broker);
-    broker.disconnect_all();
-    // Without a confirm the broker may not have the reply: the server sends it again and does not run the job again.
-    assert_eq!(next_reply(&broker).body, first.body);
-    broker.wait_until_empty("jobs");
-    assert_eq!(worker.run_count(), 1);
-}
-
 #[test]
 fn a_run_interrupted_by_a_kill_is_dead_lettered_as_unknown() {
     let (broker, worker, mut fixture) = start_serving();
@@ -247,41 +115,6 @@
     assert_eq!(worker.run_count(), 62);
 }
 
-#[test]
-fn a_failed_run_is_never_requeued() {
-    let (broker, worker, _fixture) = start_serving();
-    worker.fail_next(1);
-    broker.publish(job(1));
-    let dead = next_dead_letter(&broker);
-    assert_eq!(reason(&dead).as_deref(), Some("may-have-run"));
-    assert_eq!((dead.body.as_slice(), dead.correlation().as_str()), (&b"j1"[..], "c-j1"));
-    expect_uncertain_failure(&next_reply(&broker));
-    // A message with the same id gets the same reply.
-    broker.publish(job(1));
-    assert_eq!(next_reply(&broker).kind(), "failed");
-    assert_eq!(worker.run_count(), 1);
-}
-
-#[test]
-fn an_unacceptable_message_is_dead_lettered_with_its_reason() {
-    let (broker, worker) = start_peers(1);
-    let queues = "  max_message_bytes: 100\n";
-    let text = options(&[&broker], queues).replace("class: book", "class_header: kind");
-    let _fixture = serve(&text, &worker);
-    let cases = [
-        (message("jobs", "a", b"x"), "no-class"),
-        (message("jobs", "b", b"x").header("kind", "none"), "unknown-class"),
-        (message("jobs", "c", &[0; 101]).header("kind", "book"), "too-large"),
-    ];
-    for (unacceptable, expected) in cases {
-        broker.publish(unacceptable.reply_to("replies", expected));
-        assert_eq!(reason(&next_dead_letter(&broker)).as_deref(), Some(expected));
-        assert_eq!(reason(&next_reply(&broker)).as_deref(), Some(expected));
-    }
-    broker.publish(message("jobs", "d", b"x").header("kind", "read").reply_to("replies", "fine"));
-    assert_eq!(next_reply(&broker).kind(), "served");
-}
-
 #[test]
 fn deeply_nested_tables_close_only_the_connection() {
     let (broker, worker, mut fixture) = start_serving();
@@ -348,18 +181,6 @@
     AMQPFrame::Method(1, AMQPClass::Basic(ack))
 }
 
-#[test]
-fn a_nacked_reply_is_retried_and_an_unroutable_one_is_settled() {
-    let (broker, worker, _fixture) = start_serving();
-    broker.faults(|faults| faults.nack = 2);
-    publish_jobs(&broker, 0..3);
-    expect_all_served_once(&broker, &worker, 3);
-    // The reply queue of this message does not exist.
-    broker.publish(message("jobs", "lonely", b"x").reply_to("gone", "x"));
-    broker.wait_until_empty("jobs");
-    assert_eq!(worker.run_count(), 4);
-}
-
 #[test]
 fn nothing_is_consumed_while_publishing_is_blocked() {
     let (broker, worker, _fixture) = start_serving();
@@ -577,24 +398,12 @@
 }
 
 #[test]
-fn results_use_their_exchange_and_dead_letters_the_queue_default() {
-    let (broker, worker) = start_peers(2);
-    broker.with_state(|state| {
-        state.declare("jobs", Some(("", "queue's own")));
-        state.declare("queue's own", None);
-        state.declare("results", None);
-        state.declare_exchange("out", "direct", &[("done", "results")]);
-    });
-    let text = options(&[&broker], "  results: {exchange: out, routing_key: done}")
-        .replace("  dead_letter: {routing_key: dead}\n", "");
-    let _fixture = serve(&text, &worker);
-    broker.publish(message("jobs", "a", b"a"));
-    let result = &broker.wait_for_messages("results", 1)[0];
-    assert_eq!((result.kind().as_str(), result.correlation().as_str()), ("served", "a"));
-    assert_eq!(result.body, result_of(b"a"));
-    worker.fail_next(1);
-    broker.publish(message("jobs", "b", b"b"));
-    assert_eq!(broker.wait_for_messages("results", 1)[0].kind(), "failed");
-    let dead = &broker.wait_for_messages("queue's own", 1)[0];
-    assert_eq!((dead.body.as_slice(), dead.header_text("x-loomflow-reason")), (&b"b"[..], None));
+fn an_idle_connection_with_heartbeats_stays_open() {
+    let broker = Broker::with_limits(1, 4_096, 40);
+    broker.declare("jobs");
+    let worker = AutonomousEngine::start(1, RUN_DURATION);
+    let fixture = serve(&options(&[&broker], ""), &worker);
+    // The server sends two heartbeats an interval and closes a link that is silent for two intervals.
+    broker.wait_until("the connection is idle for three intervals", |state| state.heartbeats >= 6);
+    assert_eq!(broker.with_state(|state| state.connections()), [1], "{}", fixture.log());
 }
--- a/crates/loomflow-server/tests/common/mod.rs
+++ b/crates/loomflow-server/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses only some of these items")]
 
+pub mod amqp;
 pub mod fleet;
 
 use loomflow_test_servers::*;
--- a/crates/loomflow-test-servers/src/broker/mod.rs
+++ b/crates/loomflow-test-servers/src/broker/mod.rs
@@ -6,7 +6,7 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -49,6 +49,8 @@
 
 /// Value of `disconnect_after_bytes` without a limit.
 const NEVER: u64 = u64::MAX;
+/// How often a connection without heartbeats is checked for a heartbeat interval.
+const HEARTBEAT_POLL: Duration = Duration::from_millis(500);
 
 /// Creates a message for a queue, routed through the default exchange. An empty id is left out.
 pub fn message(queue: &str, id: &str, body: &[u8]) -> Message {
@@ -276,7 +278,7 @@
             .unwrap_or_else(PoisonError::into_inner)
             .insert(id, Connection { stream, out });
         let shared_by_writer = shared.clone();
-        thread::spawn(move || write(writer, &chunks, &shared_by_writer));
+        thread::spawn(move || write(writer, id, &chunks, &shared_by_writer));
         thread::spawn(move || {
             let _ = read(reader, id, &shared);
             shared.connections.lock().unwrap_or_else(PoisonError::into_inner).remove(&id);
@@ -287,10 +289,27 @@
     }
 }
 
+/// Waits for the next chunk of a connection. After half a heartbeat interval without one it is a heartbeat (specification
+/// 4.2.7), unless the broker is stalled.
+fn next_chunk(id: ConnectionId, chunks: &Receiver<Vec<u8>>, shared: &Shared) -> Option<Vec<u8>> {
+    loop {
+        let heartbeat_s = shared.state.lock().unwrap_or_else(PoisonError::into_inner).heartbeat_s(id);
+        let timeout =
+            if heartbeat_s > 0 { Duration::from_secs(heartbeat_s.into()) / 2 } else { HEARTBEAT_POLL };
+        match chunks.recv_timeout(timeout) {
+            Ok(chunk) => return Some(chunk),
+            Err(RecvTimeoutError::Disconnected) => return None,
+            Err(RecvTimeoutError::Timeout) if heartbeat_s == 0 => {}
+            Err(RecvTimeoutError::Timeout) if shared.is_stalled.load(Ordering::Acquire) => {}
+            Err(RecvTimeoutError::Timeout) => return Some(encode(&AMQPFrame::Heartbeat)),
+        }
+    }
+}
+
 /// Writes the chunks of a connection until an empty one, a failed write or the limit of `disconnect_after_bytes`.
-fn write(mut stream: TcpStream, chunks: &Receiver<Vec<u8>>, shared: &Shared) {
+fn write(mut stream: TcpStream, id: ConnectionId, chunks: &Receiver<Vec<u8>>, shared: &Shared) {
     let mut is_closing = false;
-    while !is_closing && let Ok(mut chunk) = chunks.recv() {
+    while !is_closing && let Some(mut chunk) = next_chunk(id, chunks, shared) {
         // Writes all queued chunks at once, as brokers do with the frames of a message. An empty chunk closes the connection.
         is_closing = chunk.is_empty();
         while !is_closing && let Ok(more) = chunks.try_recv() {
--- a/crates/loomflow-test-servers/src/broker/state/delivery.rs
+++ b/crates/loomflow-test-servers/src/broker/state/delivery.rs
@@ -77,6 +77,10 @@
 
     /// Settles a delivery; with `multiple` all deliveries up to it, or all of the channel if the tag is 0.
     pub(super) fn settle(&mut self, id: ConnectionId, number: u16, tag: u64, multiple: bool, how: Settled) {
+        if self.faults.lose_settlements > 0 {
+            self.faults.lose_settlements -= 1;
+            return self.break_connection(id);
+        }
         if how == Settled::Acked && self.faults.forget_acks > 0 {
             self.faults.forget_acks -= 1;
             return;
--- a/crates/loomflow-test-servers/src/broker/state/frames.rs
+++ b/crates/loomflow-test-servers/src/broker/state/frames.rs
@@ -11,8 +11,11 @@
 use super::{Channel, ConnectionId, Consumer, ConsumerAddress, Publishing, Settled, State};
 
 impl State {
-    /// Handles a frame that a client sent.
+    /// Handles a frame that a client sent. Frames of a closed connection are ignored.
     pub fn handle_frame(&mut self, id: ConnectionId, frame: AMQPFrame) {
+        if !self.connections.contains_key(&id) {
+            return;
+        }
         match frame {
             AMQPFrame::Method(0, AMQPClass::Connection(method)) => self.handle_connection_method(id, method),
             AMQPFrame::Method(number, AMQPClass::Channel(method)) => {
@@ -37,6 +40,7 @@
                     self.publish_if_complete(id, number);
                 }
             }
+            AMQPFrame::Heartbeat => self.heartbeats += 1,
             _ => {}
         }
         self.deliver_ready();
@@ -53,6 +57,11 @@
                 let tune = connection::Tune { channel_max, frame_max, heartbeat: self.heartbeat_s };
                 self.send(id, 0, AMQPClass::Connection(Connections::Tune(tune)));
             }
+            Connections::TuneOk(ok) => {
+                if let Some(connection) = self.connections.get_mut(&id) {
+                    connection.heartbeat_s = ok.heartbeat;
+                }
+            }
             Connections::Open(_) => {
                 self.send(id, 0, AMQPClass::Connection(Connections::OpenOk(connection::OpenOk {})));
             }
--- a/crates/loomflow-test-servers/src/broker/state/mod.rs
+++ b/crates/loomflow-test-servers/src/broker/state/mod.rs
@@ -122,6 +122,8 @@
 #[derive(Default)]
 struct ClientConnection {
     channels: BTreeMap<u16, Channel>,
+    /// Heartbeat interval that the client has agreed to, s; 0 for none.
+    heartbeat_s: u16,
 }
 
 /// Numbers of faults that are still to be injected.
@@ -135,6 +137,8 @@
     pub unconfirmed: usize,
     /// Number of acknowledgements to ignore.
     pub forget_acks: usize,
+    /// Number of methods that settle a delivery at which the connection breaks; the broker does not receive them.
+    pub lose_settlements: usize,
 }
 
 /// The state of a broker, without sockets.
@@ -153,6 +157,8 @@
     pub faults: Faults,
     /// Number of deliveries so far.
     pub deliveries: u64,
+    /// Number of heartbeats that clients sent.
+    pub heartbeats: u64,
     /// Message id and settlement of every settled delivery, in order of settlement.
     pub settled: Vec<(String, Settled)>,
     /// Highest number of unsettled deliveries on all connections at any time.
@@ -174,6 +180,7 @@
             channel_max: 2_047,
             faults: Faults::default(),
             deliveries: 0,
+            heartbeats: 0,
             settled: Vec::new(),
             max_unacked: 0,
             exchanges: BTreeMap::new(),
@@ -282,6 +289,11 @@
         self.connections.keys().copied().collect()
     }
 
+    /// Returns the heartbeat interval of a connection, s; 0 if it has none.
+    pub fn heartbeat_s(&self, id: ConnectionId) -> u16 {
+        self.connections.get(&id).map_or(0, |connection| connection.heartbeat_s)
+    }
+
     /// Takes all ready messages of a queue.
     pub fn take(&mut self, queue: &str) -> Vec<Message> {
         self.queues.get_mut(queue).map(|queue| queue.ready.drain(..).collect()).unwrap_or_default()
@@ -302,6 +314,18 @@
         self.deliver_ready();
     }
 
+    /// Closes every channel in confirm mode, with `code` as its reply code. Publishes without a confirm get none.
+    pub fn close_publishing_channels(&mut self, code: u16) {
+        for id in self.connections() {
+            let channels = self.connections[&id].channels.iter();
+            let publishing =
+                |(number, channel): (&u16, &Channel)| channel.next_publish_number.map(|_| *number);
+            for number in channels.filter_map(publishing).collect::<Vec<_>>() {
+                self.close_channel(id, number, code, "channel closed by the test");
+            }
+        }
+    }
+
     /// Cancels every consumer of a queue, as a broker does when the queue is deleted.
     pub fn cancel_consumers(&mut self, queue: &str) {
         let all = self.queues.get_mut(queue).map(|q| std::mem::take(&mut q.consumers)).unwrap_or_default();
@@ -387,6 +411,12 @@
         self.out.push((id, None));
     }
 
+    /// Breaks a connection without a close. What its client sends from now on is ignored.
+    fn break_connection(&mut self, id: ConnectionId) {
+        self.connection_closed(id);
+        self.out.push((id, None));
+    }
+
     fn close_channel(&mut self, id: ConnectionId, number: u16, code: u16, reply_text: &str) {
         self.remove_channel(id, number);
         let close =
