Reject a message whose reply is given up where no dead letters are configured

Cause: of a served message only the reply keeps its outcome. When the reply was given up, a dead letter was added where a destination is configured; else the settlement stayed what it was for a confirmed reply, an acknowledgement.

The new test in tests/settlement.rs fails on the old code without a destination: no reply and no dead letter, `([], [])` for `([], [None])`.

Change: one function decides where a message is kept, with and without a destination, and a reply that is given up ends there. A reject carries its reason, and the log names it.

--- a/crates/loomflow-amqp/src/consumer/outbound.rs
+++ b/crates/loomflow-amqp/src/consumer/outbound.rs
@@ -187,7 +187,9 @@
                 let nack = basic::Nack { delivery_tag, multiple: false, requeue: true };
                 (AMQPMethod::Nack(nack), &mut self.counts.nacks)
             }
-            Settlement::Reject => {
+            Settlement::Reject(reason) => {
+                let line = format!("rejecting a message for the dead letters of its queue: {reason}");
+                self.requests.push(ConsumerRequest::Log(line));
                 let reject = basic::Reject { delivery_tag, requeue: false };
                 (AMQPMethod::Reject(reject), &mut self.counts.rejects)
             }
--- a/crates/loomflow-amqp/src/settlement.rs
+++ b/crates/loomflow-amqp/src/settlement.rs
@@ -22,8 +22,7 @@
 /// Value up to which [`MIN_RETRY_AFTER_MS`] doubles with each retry, ms.
 const MAX_RETRY_AFTER_MS: Millis = 30_000.0;
 /// Maximum number of attempts to publish a reply, so that the full queue of one caller does not block all others. After
-/// that the message is dead-lettered if a destination is configured. A reply that cannot be routed is not repeated,
-/// because its caller has disconnected.
+/// that the message is dead-lettered. A reply that cannot be routed is not repeated, because its caller has disconnected.
 const MAX_REPLY_ATTEMPTS: u32 = 8;
 
 /// Outcome of a message.
@@ -106,8 +105,8 @@
     Ack,
     /// `basic.nack` with `requeue`, so that the broker delivers the message again.
     Requeue,
-    /// `basic.reject` without `requeue`, so that the queue applies its own dead-lettering.
-    Reject,
+    /// `basic.reject` without `requeue` for this reason, so that the queue applies its own dead-lettering.
+    Reject(FailureReason),
 }
 
 /// Next step of a settlement.
@@ -144,7 +143,7 @@
         Plan {
             reply: Some(ReplyStatus::Failed { reason, may_have_run, retry_after: None }),
             republish: Some(Republish::DeadLetter(dead_letter)),
-            settlement: Settlement::Reject,
+            settlement: Settlement::Reject(dead_letter),
             delay: 0.0,
         }
     }
@@ -310,15 +309,33 @@
         if self.reply_state != PublishState::Published {
             return;
         }
-        let has_failed = matches!(result, PublishResult::Nacked | PublishResult::Unknown);
-        if has_failed && self.reply_attempts < MAX_REPLY_ATTEMPTS {
-            self.reply_state = PublishState::Scheduled(now + self.backoff.advance());
-            return;
-        }
         self.reply_state = PublishState::Done;
-        if has_failed && self.context.has_dead_letter && self.republish.is_none() {
-            self.republish = Some(Republish::DeadLetter(FailureReason::REPLY_REJECTED));
+        match result {
+            PublishResult::Confirmed | PublishResult::Unroutable => {}
+            PublishResult::Nacked | PublishResult::Unknown if self.reply_attempts < MAX_REPLY_ATTEMPTS => {
+                self.reply_state = PublishState::Scheduled(now + self.backoff.advance());
+            }
+            PublishResult::Nacked | PublishResult::Unknown => {
+                self.reply_given_up(FailureReason::REPLY_REJECTED, now);
+            }
+        }
+    }
+
+    /// Dead-letters the message if its outcome was only in the reply, which cannot be published.
+    fn reply_given_up(&mut self, reason: FailureReason, now: Millis) {
+        let is_only_acknowledged = self.republish.is_none() && self.settlement == Settlement::Ack;
+        if is_only_acknowledged {
+            self.dead_letter(reason, now);
+        }
+    }
+
+    /// Dead-letters the message: to the configured destination, or by the queue's own dead-lettering if there is none.
+    fn dead_letter(&mut self, reason: FailureReason, now: Millis) {
+        if self.context.has_dead_letter {
+            self.republish = Some(Republish::DeadLetter(reason));
             self.republish_state = PublishState::Scheduled(now);
+        } else {
+            self.settlement = Settlement::Reject(reason);
         }
     }
 
--- a/crates/loomflow-amqp/src/settlement/tests.rs
+++ b/crates/loomflow-amqp/src/settlement/tests.rs
@@ -96,7 +96,7 @@
         SettlementContext { has_reply_to: false, has_dead_letter: false, ..context() };
     assert_eq!(
         run_to_settlement(MessageOutcome::Finished(RunResult::Failed), without_reply_or_dead_letter),
-        [SettlementAction::Settle(Settlement::Reject)]
+        [SettlementAction::Settle(Settlement::Reject(FailureReason::MAY_HAVE_RUN))]
     );
 }
 
@@ -192,6 +192,22 @@
     assert_eq!(settling.next_action(1e9), Some(SettlementAction::Settle(Settlement::Ack)));
 }
 
+/// Guards against a message that is acknowledged although its reply was given up and no `dead_letter` is configured.
+#[test]
+fn a_message_is_rejected_after_the_last_reply_attempt_without_a_dead_letter_destination() {
+    let context = SettlementContext { has_dead_letter: false, ..context() };
+    let served = MessageOutcome::Finished(RunResult::Served(b"r"[..].into()));
+    let mut settling = PendingSettlement::new(&served, context, 0.0);
+    for _ in 0..MAX_REPLY_ATTEMPTS {
+        assert!(matches!(settling.next_action(1e9), Some(SettlementAction::Reply(_))));
+        settling.reply_published(PublishResult::Nacked, 0.0);
+    }
+    assert_eq!(
+        settling.next_action(1e9),
+        Some(SettlementAction::Settle(Settlement::Reject(FailureReason::REPLY_REJECTED)))
+    );
+}
+
 #[test]
 fn only_a_final_outcome_settles_the_reply() {
     let is_reply_settled = |outcome: MessageOutcome| {
--- a/crates/loomflow-amqp/tests/common/simulation.rs
+++ b/crates/loomflow-amqp/tests/common/simulation.rs
@@ -1,5 +1,7 @@
 //! Consumers of one or more servers against the state machine of the test broker, without sockets.
 
+#![allow(dead_code, reason = "each test file uses only some of these items")]
+
 use std::collections::{BTreeMap, VecDeque};
 
 use loomflow_amqp::idempotency::NoHistory;
@@ -211,7 +213,6 @@
     }
 
     /// Lets time pass and exchanges all frames. Runs neither start nor end.
-    #[allow(dead_code, reason = "not every test lets time pass without runs")]
     pub fn elapse(&mut self, duration: f64) {
         let until = self.now + duration;
         while self.now < until {
--- /dev/null
+++ b/crates/loomflow-amqp/tests/settlement.rs
@@ -0,0 +1,83 @@
+//! Settlement of messages against the state machine of the test broker: whatever the broker does, a message is settled
+//! only when its outcome is with its caller or the message is kept as a dead letter.
+
+mod common;
+#[path = "common/simulation.rs"]
+mod simulation;
+
+use common::settings;
+use loomflow_amqp::*;
+use loomflow_test_servers::broker::{Message, message};
+use simulation::Simulation;
+
+/// Longer than all attempts to publish a reply, ms.
+const ALL_REPLY_ATTEMPTS_MS: f64 = 60_000.0;
+/// Where messages are dead-lettered.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum DeadLetters {
+    /// To the destination of the settings, the queue `dead`.
+    Configured,
+    /// By the dead-lettering of the queue `jobs`, also to the queue `dead`.
+    OfTheQueue,
+}
+
+const BOTH: [DeadLetters; 2] = [DeadLetters::Configured, DeadLetters::OfTheQueue];
+
+/// One server that consumes the queue `jobs`.
+fn simulation(dead_letters: DeadLetters, change: impl FnOnce(&mut Settings)) -> Simulation {
+    let mut settings = settings(true);
+    if dead_letters == DeadLetters::OfTheQueue {
+        settings.dead_letter = None;
+    }
+    change(&mut settings);
+    let mut simulation = Simulation::with_settings(1, settings);
+    if dead_letters == DeadLetters::OfTheQueue {
+        simulation.broker.declare("jobs", Some(("", "dead")));
+    }
+    simulation.elapse(1_000.0);
+    simulation
+}
+
+/// Submits the message `id`, whose replies go to the queue `reply_to`.
+fn submit(simulation: &mut Simulation, id: &str, reply_to: &str) {
+    assert!(simulation.broker.publish(message("jobs", id, id.as_bytes()).reply_to(reply_to, id)));
+    simulation.elapse(1_000.0);
+    assert_eq!(simulation.servers[0].submitted.len(), 1, "{id} is submitted");
+}
+
+/// Runs the message that is submitted.
+fn run(simulation: &mut Simulation, is_ok: bool) {
+    simulation.start_run(0);
+    simulation.finish_run(0, is_ok);
+}
+
+fn kinds(messages: &[Message]) -> Vec<String> {
+    messages.iter().map(Message::kind).collect()
+}
+
+/// Takes the types of the replies and the reasons of the dead letters; a dead letter of the queue has no reason.
+fn results(simulation: &mut Simulation) -> (Vec<String>, Vec<Option<String>>) {
+    assert_eq!((simulation.broker.ready("jobs"), simulation.broker.unacked("jobs")), (0, 0));
+    let replies = kinds(&simulation.broker.take("replies"));
+    let reason = |message: &Message| message.header_text("x-loomflow-reason");
+    (replies, simulation.broker.take("dead").iter().map(reason).collect())
+}
+
+/// One dead letter, which states the reason if the settings have a destination for it.
+fn one_dead_letter(dead_letters: DeadLetters, reason: &str) -> Vec<Option<String>> {
+    vec![(dead_letters == DeadLetters::Configured).then(|| reason.to_owned())]
+}
+
+/// Guards against a message that is acknowledged although the broker rejected its reply and nothing keeps its outcome.
+#[test]
+fn a_message_whose_reply_is_rejected_is_dead_lettered() {
+    for dead_letters in BOTH {
+        let mut simulation = simulation(dead_letters, |_| {});
+        submit(&mut simulation, "a", "replies");
+        simulation.broker.faults.nack = 8;
+        run(&mut simulation, true);
+        simulation.elapse(ALL_REPLY_ATTEMPTS_MS);
+        assert_eq!(results(&mut simulation), (vec![], one_dead_letter(dead_letters, "reply-refused")));
+        assert_eq!(simulation.runs["a"], 1);
+    }
+}
