Spread the eight attempts of a reply over the 25 s that the settings page states

Cause: eight attempts have seven backoffs; doubled from 100 ms these add up to 12.7 s.

Change: the first backoff is 200 ms, so that the attempts cover 25.4 s.

Evidence: the new test fails on the old code (settled before 25 s, `(0, 92)` for `(1, 93)`) and passes with the change.

--- a/crates/loomflow-amqp/src/settlement.rs
+++ b/crates/loomflow-amqp/src/settlement.rs
@@ -12,8 +12,9 @@
 use crate::idempotency::RunResult;
 use crate::publisher::PublishResult;
 
-/// First backoff between attempts to publish, ms. It doubles up to [`MAX_PUBLISH_BACKOFF_MS`].
-const MIN_PUBLISH_BACKOFF_MS: Millis = 100.0;
+/// First backoff between attempts to publish, ms. It doubles up to [`MAX_PUBLISH_BACKOFF_MS`], so that the
+/// [`MAX_REPLY_ATTEMPTS`] of a reply are spread over 25 s.
+const MIN_PUBLISH_BACKOFF_MS: Millis = 200.0;
 /// Maximum backoff between attempts to publish, ms.
 const MAX_PUBLISH_BACKOFF_MS: Millis = 30_000.0;
 /// Minimum delay before a rejected message is requeued, ms. It doubles with each retry up to [`MAX_RETRY_AFTER_MS`], so
--- a/crates/loomflow-amqp/tests/settlement.rs
+++ b/crates/loomflow-amqp/tests/settlement.rs
@@ -81,3 +81,17 @@
         assert_eq!(simulation.runs["a"], 1);
     }
 }
+
+/// Guards against a reply that is given up after half of the time that the settings page states for the eight attempts.
+#[test]
+fn a_rejected_reply_is_published_eight_times_over_25_seconds() {
+    let mut simulation = simulation(DeadLetters::OfTheQueue, |_| {});
+    submit(&mut simulation, "a", "replies");
+    simulation.broker.faults.nack = 100;
+    run(&mut simulation, true);
+    simulation.elapse(25_000.0);
+    assert_eq!((simulation.broker.unacked("jobs"), simulation.broker.faults.nack), (1, 100 - 7));
+    simulation.elapse(1_000.0);
+    assert_eq!((simulation.broker.unacked("jobs"), simulation.broker.faults.nack), (0, 100 - 8));
+    assert_eq!(results(&mut simulation), (vec![], one_dead_letter(DeadLetters::OfTheQueue, "reply-refused")));
+}
