Do what is left for a message that comes again after its settlement was lost

Callers and operators saw: (1) without `dead_letter`, a failed message whose `basic.reject` was lost with its connection is acknowledged when it comes again, and no dead letter keeps it; (2) the same after eight rejected replies, and the caller has no reply; (3) a message of a second caller of a retired key is acknowledged without a reply or a dead letter.

Cause: a settlement has no answer, so it is known to be done only while its connection lives. The record of a key held "reply confirmed" for each caller, which was set whenever nothing was left to be published: also when the reply had been given up, or a reject was still to be done. A retired key held it without the caller.

Evidence: the broker stand-in breaks the connection at the settling method.

Change: the record holds what is left to be done for each caller, the reply and the dead letter. Only a confirm completes a step, a reject never does; a redelivery gets the same outcome, and its settlement does what is left. A retired key names the caller for whom only the acknowledgement is left. A failed run without an effect whose caller was told is not run again by its redelivery.

--- a/crates/loomflow-amqp/src/consumer/delivery.rs
+++ b/crates/loomflow-amqp/src/consumer/delivery.rs
@@ -5,6 +5,7 @@
 use crate::Millis;
 use crate::idempotency::{CopyId, IdempotencyKey};
 use crate::message::{self, Classification};
+use crate::remaining_steps::RemainingSteps;
 use crate::settlement::PendingSettlement;
 
 /// A message that the broker delivered and that is not settled.
@@ -26,6 +27,8 @@
     pub(super) received_at: Millis,
     /// When its run may have started; `None` if it has not.
     pub(super) run_started_at: Option<Millis>,
+    /// What earlier deliveries of the message did not complete.
+    pub(super) remaining: RemainingSteps,
     pub(super) phase: Phase,
 }
 
--- a/crates/loomflow-amqp/src/consumer/inbound.rs
+++ b/crates/loomflow-amqp/src/consumer/inbound.rs
@@ -11,6 +11,7 @@
 use crate::failure_reason::FailureReason;
 use crate::idempotency::{DeliveryId, DuplicateDecision, IdempotencyKey, MessageInfo};
 use crate::message::{self, Classification};
+use crate::remaining_steps::RemainingSteps;
 use crate::settlement::MessageOutcome;
 
 impl Consumer {
@@ -44,8 +45,10 @@
                 return key.map(|key| self.records.not_started(&key, copy, now)).unwrap_or_default();
             }
             (Phase::AwaitingOriginal, Some(key)) => self.records.remove_waiter(&key, id),
-            (Phase::Settling(settling), Some(key)) if settling.awaits_reply_confirm() => {
-                self.track_late_reply(id, key, &delivery.properties);
+            (Phase::Settling(settling), Some(key)) => {
+                if let Some(remaining) = settling.remaining_after_reply() {
+                    self.track_late_reply(id, key, &delivery.properties, remaining);
+                }
             }
             (Phase::AwaitingOriginal | Phase::Settling(_), _) => {}
         }
@@ -53,10 +56,17 @@
     }
 
     /// Arranges that a confirm of the reply to an abandoned delivery is still recorded for its caller.
-    fn track_late_reply(&mut self, id: DeliveryId, key: IdempotencyKey, properties: &AMQPProperties) {
+    fn track_late_reply(
+        &mut self,
+        id: DeliveryId,
+        key: IdempotencyKey,
+        properties: &AMQPProperties,
+        remaining: RemainingSteps,
+    ) {
         let is_reply = |purpose: &&mut PublishPurpose| matches!(purpose, PublishPurpose::Reply(delivery) if *delivery == id);
         if let Some(purpose) = self.pending_publishes.values_mut().find(is_reply) {
-            *purpose = PublishPurpose::LateReply(key, message::caller_digest(properties));
+            let caller_digest = message::caller_digest(properties);
+            *purpose = PublishPurpose::LateReply { key, caller_digest, remaining };
         }
     }
 
@@ -91,6 +101,7 @@
             redelivered: deliver.redelivered,
             received_at: now,
             run_started_at: None,
+            remaining: RemainingSteps::ALL,
             phase: Phase::AwaitingOriginal,
         };
         self.deliveries.insert(id, delivery);
@@ -159,11 +170,9 @@
             }
             DuplicateDecision::Run => self.submit(id, classification, now),
             DuplicateDecision::AwaitOriginal => delivery.phase = Phase::AwaitingOriginal,
-            DuplicateDecision::Superseded
-            | DuplicateDecision::ReplyFromRecord { is_reply_confirmed: true, .. } => {
-                self.begin_settlement(id, &MessageOutcome::AlreadyReplied, now);
-            }
-            DuplicateDecision::ReplyFromRecord { result, .. } => {
+            DuplicateDecision::Superseded => self.begin_settlement(id, &MessageOutcome::Superseded, now),
+            DuplicateDecision::ReplyFromRecord { result, remaining } => {
+                delivery.remaining = remaining;
                 self.begin_settlement(id, &MessageOutcome::Finished(result), now);
             }
             DuplicateDecision::MayHaveRun => self.begin_settlement(id, &MessageOutcome::MayHaveRun, now),
--- a/crates/loomflow-amqp/src/consumer/mod.rs
+++ b/crates/loomflow-amqp/src/consumer/mod.rs
@@ -25,6 +25,7 @@
 use crate::idempotency::{DeliveryId, IdempotencyKey, IdempotencyRecords, IdempotencyStore};
 use crate::message::Classification;
 use crate::publisher::{PublishId, Publisher};
+use crate::remaining_steps::RemainingSteps;
 use crate::settings::Settings;
 use crate::settlement::{MessageOutcome, Republish};
 use crate::window::Window;
@@ -90,8 +91,12 @@
 enum PublishPurpose {
     Reply(DeliveryId),
     Republish(DeliveryId, Republish),
-    /// Reply to a delivery that has been abandoned since. Its confirm is recorded for this key and caller digest.
-    LateReply(IdempotencyKey, u64),
+    /// Reply to a delivery that has been abandoned since. Once it is confirmed, only `remaining` is left for the caller.
+    LateReply {
+        key: IdempotencyKey,
+        caller_digest: u64,
+        remaining: RemainingSteps,
+    },
 }
 
 struct QueueState {
--- a/crates/loomflow-amqp/src/consumer/outbound.rs
+++ b/crates/loomflow-amqp/src/consumer/outbound.rs
@@ -118,6 +118,7 @@
             max_retries: self.settings.max_retries,
             has_effect: delivery.classification.is_none_or(|classification| classification.has_effect),
             time_left: deadline.map(|deadline| deadline - now),
+            remaining: delivery.remaining,
         };
         delivery.phase = Phase::Settling(PendingSettlement::new(outcome, context, now));
         self.advance(id, now);
@@ -207,10 +208,12 @@
                 Some(PublishPurpose::Republish(id, to)) => {
                     self.handle_republish_result(id, to, publish_id, result, now);
                 }
-                Some(PublishPurpose::LateReply(key, caller_digest)) if result == PublishResult::Confirmed => {
-                    self.records.reply_confirmed(&key, caller_digest);
+                Some(PublishPurpose::LateReply { key, caller_digest, remaining })
+                    if result == PublishResult::Confirmed =>
+                {
+                    self.records.steps_completed(&key, caller_digest, remaining);
                 }
-                Some(PublishPurpose::LateReply(..)) => {}
+                Some(PublishPurpose::LateReply { .. }) => {}
             }
         }
     }
@@ -246,13 +249,12 @@
         self.continue_settlement(id, now);
     }
 
-    /// Records if the caller needs no further reply, and continues the settlement.
+    /// Records what is left to be done for the caller, and continues the settlement.
     fn continue_settlement(&mut self, id: DeliveryId, now: Millis) {
         let Some(delivery) = self.deliveries.get(&id) else { return };
-        let is_reply_settled =
-            matches!(&delivery.phase, Phase::Settling(settling) if settling.is_reply_settled());
-        if let (Some(key), true) = (&delivery.key, is_reply_settled) {
-            self.records.reply_confirmed(key, message::caller_digest(&delivery.properties));
+        if let (Some(key), Phase::Settling(settling)) = (&delivery.key, &delivery.phase) {
+            let caller_digest = message::caller_digest(&delivery.properties);
+            self.records.steps_completed(key, caller_digest, settling.remaining_steps());
         }
         self.advance(id, now);
     }
--- a/crates/loomflow-amqp/src/idempotency.rs
+++ b/crates/loomflow-amqp/src/idempotency.rs
@@ -18,7 +18,8 @@
 use loomflow_idempotency::{BodyHasher, ResultBudget, ResultSequence};
 
 use crate::Millis;
-use crate::retired_keys::RetiredKeys;
+use crate::remaining_steps::{CallerSteps, RemainingSteps};
+use crate::retired_keys::{RetiredKey, RetiredKeys};
 
 /// Identifies a delivery within this process; ids are not reused.
 pub type DeliveryId = u64;
@@ -81,8 +82,8 @@
     ReplyFromRecord {
         /// Result of the run.
         result: RunResult,
-        /// Whether the reply to this caller was already confirmed.
-        is_reply_confirmed: bool,
+        /// What earlier deliveries of the message did not complete.
+        remaining: RemainingSteps,
     },
     /// A copy of the message was published and confirmed: only settle the message.
     Superseded,
@@ -116,8 +117,8 @@
     expires_at: Millis,
     /// Other deliveries of the key, which wait for the first one to end.
     waiters: Vec<DeliveryId>,
-    /// Digests of the callers whose reply was confirmed, newest last.
-    replied_callers: VecDeque<u64>,
+    /// What is left to be done for the callers whose reply or dead letter was confirmed.
+    caller_steps: CallerSteps,
 }
 
 impl Record {
@@ -137,9 +138,6 @@
     pub retired_keys: usize,
 }
 
-/// Maximum number of callers per key whose confirmed reply is recorded.
-const MAX_REPLIED_CALLERS: usize = 4;
-
 /// Records of the keys of recent messages. Above the capacity, the oldest records of messages that ended are dropped; of
 /// a key that has run, a hash is retained. If only unfinished records are left, no more messages may be consumed
 /// ([`IdempotencyRecords::is_full`]).
@@ -257,6 +255,7 @@
     fn look_up(&mut self, id: DeliveryId, key: &IdempotencyKey, message: &MessageInfo) -> Lookup {
         let Some(record) = self.records.get_mut(key) else { return self.look_up_retired(key, message) };
         let is_same_body = record.body_digest == message.body_digest;
+        let completed = record.caller_steps.get(message.caller_digest).filter(|_| message.may_be_known());
         let may_have_run_elsewhere = match record.state.clone() {
             KeyState::Queued | KeyState::Running | KeyState::Finished(_) if !is_same_body => {
                 return Lookup::Decided(DuplicateDecision::BodyMismatch);
@@ -265,10 +264,11 @@
                 record.waiters.push(id);
                 return Lookup::Decided(DuplicateDecision::AwaitOriginal);
             }
-            KeyState::Finished(result) if message.has_effect || matches!(result, RunResult::Served(_)) => {
-                let is_reply_confirmed =
-                    message.may_be_known() && record.replied_callers.contains(&message.caller_digest);
-                return Lookup::Decided(DuplicateDecision::ReplyFromRecord { result, is_reply_confirmed });
+            KeyState::Finished(result)
+                if message.has_effect || matches!(result, RunResult::Served(_)) || completed.is_some() =>
+            {
+                let remaining = completed.unwrap_or(RemainingSteps::ALL);
+                return Lookup::Decided(DuplicateDecision::ReplyFromRecord { result, remaining });
             }
             KeyState::Finished(_) => false,
             KeyState::Republished { from, is_confirmed: true, .. }
@@ -284,10 +284,16 @@
 
     /// Looks up a key without a record among the retired keys and in the store.
     fn look_up_retired(&self, key: &IdempotencyKey, message: &MessageInfo) -> Lookup {
-        if let Some(was_reply_confirmed) = self.retired_keys.get(key).filter(|_| message.has_effect) {
-            let is_reply_confirmed = message.may_be_known() && was_reply_confirmed;
+        if let Some(retired) = self.retired_keys.get(key).filter(|_| message.has_effect) {
+            let is_completed =
+                retired.completed_caller.is_some_and(|caller| caller.get() == message.caller_digest);
+            let remaining = if message.may_be_known() && is_completed {
+                RemainingSteps::NONE
+            } else {
+                RemainingSteps::ALL
+            };
             let result = RunResult::ReplyDiscarded;
-            return Lookup::Decided(DuplicateDecision::ReplyFromRecord { result, is_reply_confirmed });
+            return Lookup::Decided(DuplicateDecision::ReplyFromRecord { result, remaining });
         }
         let may_have_run_elsewhere = message.redelivered && self.store.may_have_started(key) != Some(false);
         Lookup::Undecided { may_have_run_elsewhere }
@@ -301,7 +307,7 @@
             reply_sequence: None,
             expires_at: f64::INFINITY,
             waiters: Vec::new(),
-            replied_callers: VecDeque::new(),
+            caller_steps: CallerSteps::default(),
         };
         self.records.insert(key.clone(), record);
     }
@@ -390,19 +396,17 @@
             self.discard_reply(&key);
             let Some(record) = self.records.remove(&key) else { continue };
             if matches!(record.state, KeyState::Finished(_)) {
-                self.retired_keys.insert(&key, !record.replied_callers.is_empty(), now);
+                let completed_caller = record.caller_steps.newest_completed();
+                self.retired_keys.insert(&key, RetiredKey { completed_caller }, now);
             }
         }
     }
 
-    /// Records that the reply to a caller was confirmed.
-    pub fn reply_confirmed(&mut self, key: &IdempotencyKey, caller_digest: u64) {
-        let is_new = |record: &&mut Record| !record.replied_callers.contains(&caller_digest);
-        let Some(record) = self.records.get_mut(key).filter(is_new) else { return };
-        if record.replied_callers.len() >= MAX_REPLIED_CALLERS {
-            record.replied_callers.pop_front();
+    /// Records that only `remaining` is left to be done for the message of a caller.
+    pub fn steps_completed(&mut self, key: &IdempotencyKey, caller_digest: u64, remaining: RemainingSteps) {
+        if let Some(record) = self.records.get_mut(key) {
+            record.caller_steps.complete(caller_digest, remaining);
         }
-        record.replied_callers.push_back(caller_digest);
     }
 
     /// Removes a delivery from the waiters of a key.
--- a/crates/loomflow-amqp/src/idempotency/tests.rs
+++ b/crates/loomflow-amqp/src/idempotency/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::remaining_steps::MAX_CALLERS;
 use proptest::prelude::*;
 
 fn key(text: &str) -> IdempotencyKey {
@@ -64,7 +65,7 @@
     assert_eq!(records.decide(5, Some(&key("b")), message_info(false, true, 0), 0.0), DuplicateDecision::Run);
     // A duplicate that is not redelivered gets the same result.
     let unknown =
-        DuplicateDecision::ReplyFromRecord { result: RunResult::Unknown, is_reply_confirmed: false };
+        DuplicateDecision::ReplyFromRecord { result: RunResult::Unknown, remaining: RemainingSteps::ALL };
     assert_eq!(records.decide(6, Some(&a), message_info(true, false, 0), 0.0), unknown);
 }
 
@@ -103,31 +104,53 @@
     );
     records.remove_waiter(&a, 2);
     assert_eq!(records.run_finished(&a, RunResult::Served(b"r"[..].into()), 1.0), [3]);
-    let from_record = |is_reply_confirmed| DuplicateDecision::ReplyFromRecord {
+    let from_record = |remaining| DuplicateDecision::ReplyFromRecord {
         result: RunResult::Served(b"r"[..].into()),
-        is_reply_confirmed,
+        remaining,
     };
-    assert_eq!(records.decide(4, Some(&a), message_info(true, true, 7), 1.0), from_record(false));
-    records.reply_confirmed(&a, 7);
-    assert_eq!(records.decide(5, Some(&a), message_info(true, true, 7), 1.0), from_record(true));
+    assert_eq!(
+        records.decide(4, Some(&a), message_info(true, true, 7), 1.0),
+        from_record(RemainingSteps::ALL)
+    );
+    records.steps_completed(&a, 7, RemainingSteps::NONE);
+    assert_eq!(
+        records.decide(5, Some(&a), message_info(true, true, 7), 1.0),
+        from_record(RemainingSteps::NONE)
+    );
     assert_eq!(
         records.decide(6, Some(&a), message_info(true, true, 8), 1.0),
-        from_record(false),
+        from_record(RemainingSteps::ALL),
         "the reply to another caller of the key is not confirmed"
     );
     assert_eq!(
         records.decide(7, Some(&a), message_info(true, false, 7), 1.0),
-        from_record(false),
+        from_record(RemainingSteps::ALL),
         "a new message of the same caller gets a reply again"
     );
     let copied = MessageInfo { copy: Some(1), ..message_info(true, false, 7) };
     assert_eq!(
         records.decide(8, Some(&a), copied, 1.0),
-        from_record(true),
+        from_record(RemainingSteps::NONE),
         "a requeued copy is not a new request"
     );
 }
 
+#[test]
+fn a_failure_without_an_effect_is_repeated_only_for_a_redelivery_of_its_message() {
+    let mut records = records_without_history();
+    let a = key("a");
+    records.decide(1, Some(&a), message_info(false, false, 7), 0.0);
+    records.run_finished(&a, RunResult::Failed, 0.0);
+    let remaining = RemainingSteps { reply: false, dead_letter: true };
+    records.steps_completed(&a, 7, remaining);
+    assert_eq!(
+        records.decide(2, Some(&a), message_info(false, true, 7), 1.0),
+        DuplicateDecision::ReplyFromRecord { result: RunResult::Failed, remaining },
+        "its caller has the failure as its reply"
+    );
+    assert_eq!(records.decide(3, Some(&a), message_info(false, false, 7), 1.0), DuplicateDecision::Run);
+}
+
 #[test]
 fn a_message_that_was_not_started_runs_when_redelivered() {
     let mut records = records_without_history();
@@ -194,8 +217,10 @@
         records.run_finished(&key(text), RunResult::Served(vec![0; 30].into()), 0.0);
     }
     assert!(records.reply_bytes() <= 64);
-    let discarded =
-        DuplicateDecision::ReplyFromRecord { result: RunResult::ReplyDiscarded, is_reply_confirmed: false };
+    let discarded = DuplicateDecision::ReplyFromRecord {
+        result: RunResult::ReplyDiscarded,
+        remaining: RemainingSteps::ALL,
+    };
     assert_eq!(records.decide(2, Some(&key("a")), message_info(true, true, 0), 1.0), discarded);
     records.expire(2_000.0);
     assert!(records.is_empty() && records.reply_bytes() == 0 && records.replies.is_empty());
@@ -207,15 +232,15 @@
     let a = key("a");
     records.decide(1, Some(&a), message_info(true, false, 0), 0.0);
     records.run_finished(&a, RunResult::Served(b"r"[..].into()), 0.0);
-    let callers = MAX_REPLIED_CALLERS as u64 + 1;
+    let callers = MAX_CALLERS as u64 + 1;
     for caller in (1..=callers).chain([callers]) {
-        records.reply_confirmed(&a, caller);
+        records.steps_completed(&a, caller, RemainingSteps::NONE);
     }
-    let mut is_reply_confirmed = |caller| {
+    let mut is_completed = |caller| {
         let decision = records.decide(2, Some(&a), message_info(true, true, caller), 1.0);
-        matches!(decision, DuplicateDecision::ReplyFromRecord { is_reply_confirmed: true, .. })
+        matches!(decision, DuplicateDecision::ReplyFromRecord { remaining: RemainingSteps::NONE, .. })
     };
-    assert!(!is_reply_confirmed(1) && (2..=callers).all(is_reply_confirmed));
+    assert!(!is_completed(1) && (2..=callers).all(is_completed));
 }
 
 #[test]
@@ -228,7 +253,7 @@
         match text {
             "ran" => {
                 records.run_finished(&key(text), RunResult::Served(b"r"[..].into()), 0.0);
-                records.reply_confirmed(&key(text), 0);
+                records.steps_completed(&key(text), 5, RemainingSteps::NONE);
             }
             "not started" => drop(records.not_started(&key(text), None, 0.0)),
             _ => {}
@@ -238,17 +263,16 @@
     assert!(records.is_full(), "2 records are unfinished, which is the capacity");
     records.run_finished(&key("open too"), RunResult::Failed, 0.0);
     assert!(!records.is_full());
-    let discarded = |is_reply_confirmed| DuplicateDecision::ReplyFromRecord {
-        result: RunResult::ReplyDiscarded,
-        is_reply_confirmed,
-    };
-    assert_eq!(records.decide(2, Some(&key("ran")), redelivered, 1.0), discarded(true));
-    let new = message_info(true, false, 0);
+    let discarded =
+        |remaining| DuplicateDecision::ReplyFromRecord { result: RunResult::ReplyDiscarded, remaining };
+    let mut decide = |info| records.decide(2, Some(&key("ran")), info, 1.0);
+    assert_eq!(decide(message_info(true, true, 5)), discarded(RemainingSteps::NONE));
     assert_eq!(
-        records.decide(2, Some(&key("ran")), new, 1.0),
-        discarded(false),
+        decide(message_info(true, false, 5)),
+        discarded(RemainingSteps::ALL),
         "a new message gets a reply again"
     );
+    assert_eq!(decide(redelivered), discarded(RemainingSteps::ALL), "another caller has no reply yet");
     assert_eq!(
         records.decide(2, Some(&key("not started")), redelivered, 1.0),
         DuplicateDecision::MayHaveRun,
--- a/crates/loomflow-amqp/src/lib.rs
+++ b/crates/loomflow-amqp/src/lib.rs
@@ -4,7 +4,8 @@
 //! Protocol layers, lowest first: [`frames`] splits and encodes frames, [`content`] assembles messages, [`connection`]
 //! handles channel 0 and opens channels, [`consumer_pool`] manages the consumers of one queue, and [`publisher`] tracks
 //! publisher confirms. Decisions are kept in modules without protocol code: [`window`] decides how much to consume,
-//! [`idempotency`] how to treat a duplicate, [`settlement`] how each message is settled, and [`backoff`] when to
+//! [`idempotency`] how to treat a duplicate, [`settlement`] how each message is settled, [`remaining_steps`]
+//! what is left of that for a redelivery, and [`backoff`] when to
 //! reconnect. [`consumer`] combines them.
 //!
 //! Section numbers in comments refer to the AMQP 0-9-1 specification. "Extension" marks features that brokers implement
@@ -22,6 +23,7 @@
 pub mod idempotency;
 pub mod message;
 pub mod publisher;
+pub mod remaining_steps;
 pub mod retired_keys;
 pub mod settings;
 pub mod settlement;
--- a/crates/loomflow-amqp/src/retired_keys.rs
+++ b/crates/loomflow-amqp/src/retired_keys.rs
@@ -6,16 +6,23 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::hash::{BuildHasher, Hash, RandomState};
+use std::num::NonZeroU64;
 
 use crate::Millis;
 
 /// Number of generations per retention time. The keys of a generation are dropped together.
 const GENERATIONS: f64 = 8.0;
 
+/// What is retained of a key that has run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetiredKey {
+    /// Digest of the caller whose message only has to be acknowledged; `None` if there is none.
+    pub completed_caller: Option<NonZeroU64>,
+}
+
 struct Generation {
     started_at: Millis,
-    /// Maps the hash of a key to whether the reply to its caller was confirmed.
-    keys: HashMap<u64, bool>,
+    keys: HashMap<u64, RetiredKey>,
 }
 
 /// Bounded set of key hashes that expire.
@@ -45,11 +52,11 @@
         self.count == 0
     }
 
-    /// Inserts a key that has run, and whether the reply to its caller was confirmed.
-    pub fn insert(&mut self, key: &impl Hash, is_reply_confirmed: bool, now: Millis) {
+    /// Inserts a key that has run.
+    pub fn insert(&mut self, key: &impl Hash, retired: RetiredKey, now: Millis) {
         let hash = self.hasher.hash_one(key);
         let generation = self.current_generation(now);
-        let is_new = generation.keys.insert(hash, is_reply_confirmed).is_none();
+        let is_new = generation.keys.insert(hash, retired).is_none();
         self.count += usize::from(is_new);
         // An insertion adds at most one key, so dropping one generation is enough.
         if self.count > self.max_keys {
@@ -71,8 +78,8 @@
         }
     }
 
-    /// Whether the reply to the caller of a key was confirmed; `None` if the key is not retained.
-    pub fn get(&self, key: &impl Hash) -> Option<bool> {
+    /// What is known of a key; `None` if it is not retained.
+    pub fn get(&self, key: &impl Hash) -> Option<RetiredKey> {
         if self.is_empty() {
             return None;
         }
--- a/crates/loomflow-amqp/src/settlement.rs
+++ b/crates/loomflow-amqp/src/settlement.rs
@@ -11,6 +11,7 @@
 use crate::failure_reason::FailureReason;
 use crate::idempotency::RunResult;
 use crate::publisher::PublishResult;
+use crate::remaining_steps::RemainingSteps;
 
 /// First backoff between attempts to publish, ms. It doubles up to [`MAX_PUBLISH_BACKOFF_MS`], so that the
 /// [`MAX_REPLY_ATTEMPTS`] of a reply are spread over 25 s.
@@ -31,8 +32,8 @@
 pub enum MessageOutcome {
     /// The run has ended.
     Finished(RunResult),
-    /// Everything was published and confirmed for an earlier delivery: the message only has to be acknowledged.
-    AlreadyReplied,
+    /// A copy of the message was published and confirmed: the message only has to be acknowledged.
+    Superseded,
     /// The message was rejected under overload and not started.
     Rejected {
         /// Time until a retry is allowed.
@@ -67,6 +68,8 @@
     pub has_effect: bool,
     /// How long its sender still waits; `None` if the sending time is unknown.
     pub time_left: Option<Millis>,
+    /// What earlier deliveries of the message did not complete.
+    pub remaining: RemainingSteps,
 }
 
 /// Content of the reply to a caller.
@@ -165,7 +168,7 @@
                 Plan::failed(FailureReason::RUN_UNKNOWN, true, FailureReason::RUN_UNKNOWN)
             }
             MessageOutcome::Finished(served) => Plan::acknowledged(Some(ReplyStatus::Served(served.clone()))),
-            MessageOutcome::AlreadyReplied => Plan::acknowledged(None),
+            MessageOutcome::Superseded => Plan::acknowledged(None),
             MessageOutcome::Rejected { retry_after, is_final } => {
                 Plan::rejected(*retry_after, *is_final, context)
             }
@@ -217,6 +220,7 @@
     republish_state: PublishState,
     settlement: Settlement,
     is_settled: bool,
+    is_reply_confirmed: bool,
     /// Backoff before the next attempt to publish.
     backoff: ExponentialBackoff,
     reply_attempts: u32,
@@ -229,11 +233,14 @@
     /// Starts the settlement of a message that ended at `now`.
     pub fn new(outcome: &MessageOutcome, context: SettlementContext, now: Millis) -> PendingSettlement {
         let Plan { reply, republish, settlement, delay } = Plan::new(outcome, &context);
-        let reply = reply.filter(|_| context.has_reply_to);
-        // Without a configured destination, the queue applies its own dead-lettering, which states no reason.
-        let republish =
-            republish.filter(|to| context.has_dead_letter || matches!(to, Republish::Requeue { .. }));
-        let settlement = if republish.is_some() { Settlement::Ack } else { settlement };
+        let reply = reply.filter(|_| context.has_reply_to && context.remaining.reply);
+        let (republish, settlement) = match republish {
+            Some(Republish::DeadLetter(_)) if !context.remaining.dead_letter => (None, Settlement::Ack),
+            // Without a configured destination, the queue applies its own dead-lettering, which states no reason.
+            Some(Republish::DeadLetter(_)) if !context.has_dead_letter => (None, settlement),
+            Some(republish) => (Some(republish), Settlement::Ack),
+            None => (None, settlement),
+        };
         let schedule =
             |is_needed: bool, at| if is_needed { PublishState::Scheduled(at) } else { PublishState::Done };
         PendingSettlement {
@@ -243,6 +250,7 @@
             republish,
             settlement,
             is_settled: false,
+            is_reply_confirmed: false,
             backoff: ExponentialBackoff::new(MIN_PUBLISH_BACKOFF_MS, MAX_PUBLISH_BACKOFF_MS),
             reply_attempts: 0,
             context,
@@ -276,13 +284,6 @@
         self.reply_state == PublishState::Done && self.republish_state == PublishState::Done
     }
 
-    /// Whether only the confirm of a final reply and then the settlement are pending.
-    pub fn awaits_reply_confirm(&self) -> bool {
-        self.is_final_reply
-            && self.reply_state == PublishState::Published
-            && self.republish_state == PublishState::Done
-    }
-
     /// When the next scheduled publish is due; `None` if there is none.
     pub fn next_deadline(&self) -> Option<Millis> {
         let scheduled_at = |state| if let PublishState::Scheduled(at) = state { Some(at) } else { None };
@@ -292,10 +293,27 @@
             .reduce(f64::min)
     }
 
-    /// Whether the outcome is final and everything is published or abandoned, so that the caller needs no further
-    /// reply. This includes messages without a reply destination.
-    pub fn is_reply_settled(&self) -> bool {
-        self.is_final_reply && self.is_everything_published()
+    /// What a redelivery of the message would still have to do; everything unless the outcome is final.
+    pub fn remaining_steps(&self) -> RemainingSteps {
+        if !self.is_final_reply {
+            return RemainingSteps::ALL;
+        }
+        let reply = self.reply.is_some() && !self.is_reply_confirmed;
+        let dead_letter = match (self.republish, self.settlement) {
+            (Some(Republish::DeadLetter(_)), _) => self.republish_state != PublishState::Done,
+            // Whether the broker receives the reject is never known.
+            (_, Settlement::Reject(_)) => true,
+            // Only the reply has the outcome.
+            _ => reply && self.context.remaining.dead_letter,
+        };
+        RemainingSteps { reply, dead_letter }
+    }
+
+    /// [`PendingSettlement::remaining_steps`] once the reply that was published is confirmed; `None` if no confirm of a
+    /// reply is pending.
+    pub fn remaining_after_reply(&self) -> Option<RemainingSteps> {
+        let is_pending = self.reply_state == PublishState::Published;
+        is_pending.then(|| PendingSettlement { is_reply_confirmed: true, ..self.clone() }.remaining_steps())
     }
 
     /// Republishes the message without further delay, because the server is shutting down.
@@ -312,7 +330,8 @@
         }
         self.reply_state = PublishState::Done;
         match result {
-            PublishResult::Confirmed | PublishResult::Unroutable => {}
+            PublishResult::Confirmed => self.is_reply_confirmed = true,
+            PublishResult::Unroutable => {}
             PublishResult::Nacked | PublishResult::Unknown if self.reply_attempts < MAX_REPLY_ATTEMPTS => {
                 self.reply_state = PublishState::Scheduled(now + self.backoff.advance());
             }
@@ -325,7 +344,7 @@
     /// Dead-letters the message if its outcome was only in the reply, which cannot be published.
     fn reply_given_up(&mut self, reason: FailureReason, now: Millis) {
         let is_only_acknowledged = self.republish.is_none() && self.settlement == Settlement::Ack;
-        if is_only_acknowledged {
+        if is_only_acknowledged && self.context.remaining.dead_letter {
             self.dead_letter(reason, now);
         }
     }
--- a/crates/loomflow-amqp/src/settlement/tests.rs
+++ b/crates/loomflow-amqp/src/settlement/tests.rs
@@ -9,6 +9,7 @@
         max_retries: 2,
         has_effect: true,
         time_left: None,
+        remaining: RemainingSteps::ALL,
     }
 }
 
@@ -60,7 +61,7 @@
             MessageOutcome::Finished(served.clone()),
             vec![SettlementAction::Reply(ReplyStatus::Served(served)), ack()],
         ),
-        (MessageOutcome::AlreadyReplied, vec![ack()]),
+        (MessageOutcome::Superseded, vec![ack()]),
         (rejected(300.0), vec![SettlementAction::Reply(ReplyStatus::Rejected(300.0)), requeue(1), ack()]),
         (
             MessageOutcome::Finished(RunResult::Failed),
@@ -209,20 +210,61 @@
 }
 
 #[test]
-fn only_a_final_outcome_settles_the_reply() {
-    let is_reply_settled = |outcome: MessageOutcome| {
+fn only_a_final_outcome_completes_steps() {
+    let is_completed = |outcome: MessageOutcome| {
         let mut settling = PendingSettlement::new(&outcome, context(), 0.0);
         settling.next_action(1e6);
         settling.reply_published(PublishResult::Confirmed, 1e6);
         settling.next_action(1e6);
         settling.republished(PublishResult::Confirmed, 1e6);
-        settling.is_reply_settled()
+        settling.remaining_steps() == RemainingSteps::NONE
     };
     assert!(
-        is_reply_settled(MessageOutcome::Finished(RunResult::Failed))
-            && is_reply_settled(MessageOutcome::MayHaveRun)
+        is_completed(MessageOutcome::Finished(RunResult::Failed)) && is_completed(MessageOutcome::MayHaveRun)
     );
-    assert!(!is_reply_settled(rejected(0.0)) && !is_reply_settled(MessageOutcome::NotRun));
+    assert!(!is_completed(rejected(0.0)) && !is_completed(MessageOutcome::NotRun));
+}
+
+#[test]
+fn a_step_is_completed_only_by_a_confirm() {
+    let served = MessageOutcome::Finished(RunResult::Served(b"r"[..].into()));
+    let failed = MessageOutcome::Finished(RunResult::Failed);
+    let after_reply = |outcome: &MessageOutcome, has_dead_letter, result| {
+        let context = SettlementContext { has_dead_letter, ..context() };
+        let mut settling = PendingSettlement::new(outcome, context, 0.0);
+        settling.next_action(0.0);
+        settling.reply_published(result, 0.0);
+        settling.remaining_steps()
+    };
+    let only_dead_letter = RemainingSteps { reply: false, dead_letter: true };
+    for has_dead_letter in [true, false] {
+        let confirmed = PublishResult::Confirmed;
+        assert_eq!(after_reply(&served, has_dead_letter, confirmed), RemainingSteps::NONE);
+        // A reject may be lost, so that a message without a destination of dead letters is never known to be kept.
+        assert_eq!(after_reply(&failed, has_dead_letter, confirmed), only_dead_letter);
+        for result in [PublishResult::Nacked, PublishResult::Unroutable, PublishResult::Unknown] {
+            assert_eq!(after_reply(&served, has_dead_letter, result), RemainingSteps::ALL, "{result:?}");
+        }
+    }
+}
+
+#[test]
+fn a_redelivery_does_only_what_remains() {
+    let actions = |outcome: MessageOutcome, has_dead_letter, reply, dead_letter| {
+        let remaining = RemainingSteps { reply, dead_letter };
+        run_to_settlement(outcome, SettlementContext { has_dead_letter, remaining, ..context() })
+    };
+    let failure = MessageOutcome::Finished(RunResult::Failed);
+    let reject = SettlementAction::Settle(Settlement::Reject(FailureReason::MAY_HAVE_RUN));
+    assert_eq!(
+        actions(failure.clone(), true, false, true),
+        [dead_letter(FailureReason::MAY_HAVE_RUN), ack()]
+    );
+    assert_eq!(actions(failure.clone(), false, false, true), [reject]);
+    assert_eq!(actions(failure.clone(), true, true, false), [failed(FailureReason::FAILED, true), ack()]);
+    assert_eq!(actions(failure, true, false, false), [ack()]);
+    let served = MessageOutcome::Finished(RunResult::Served(b"r"[..].into()));
+    assert_eq!(actions(served, false, false, false), [ack()]);
 }
 
 fn outcomes() -> impl Strategy<Value = MessageOutcome> {
@@ -230,7 +272,7 @@
         Just(MessageOutcome::Finished(RunResult::Served(b"r"[..].into()))),
         Just(MessageOutcome::Finished(RunResult::Failed)),
         Just(MessageOutcome::Finished(RunResult::ReplyDiscarded)),
-        Just(MessageOutcome::AlreadyReplied),
+        Just(MessageOutcome::Superseded),
         (0.0f64..500.0, any::<bool>())
             .prop_map(|(retry_after, is_final)| MessageOutcome::Rejected { retry_after, is_final }),
         Just(MessageOutcome::NotRun),
@@ -257,7 +299,7 @@
         has_effect in any::<bool>(), time_left in proptest::option::of(0.0f64..900.0),
         results in proptest::collection::vec(publish_results(), 1..12),
     ) {
-        let context = SettlementContext { has_reply_to, has_dead_letter, retry_count, max_retries: 2, has_effect, time_left };
+        let context = SettlementContext { has_reply_to, has_dead_letter, retry_count, max_retries: 2, has_effect, time_left, remaining: RemainingSteps::ALL };
         let mut settling = PendingSettlement::new(&outcome, context, 0.0);
         let (mut now, mut settlement, mut replies, mut is_republished) = (0.0, None, 0, false);
         let mut results = results.into_iter().chain(std::iter::repeat(PublishResult::Confirmed));
@@ -284,7 +326,7 @@
         }
         let settlement = settlement.expect("the message is settled");
         let needs_no_copy =
-            matches!(outcome, MessageOutcome::Finished(RunResult::Served(_)) | MessageOutcome::AlreadyReplied);
+            matches!(outcome, MessageOutcome::Finished(RunResult::Served(_)) | MessageOutcome::Superseded);
         prop_assert!(is_republished || settlement != Settlement::Ack || needs_no_copy);
         prop_assert!(!is_republished || settlement == Settlement::Ack);
     }
--- a/crates/loomflow-amqp/tests/settlement.rs
+++ b/crates/loomflow-amqp/tests/settlement.rs
@@ -12,6 +12,9 @@
 
 /// Longer than all attempts to publish a reply, ms.
 const ALL_REPLY_ATTEMPTS_MS: f64 = 60_000.0;
+/// Longer than the exchange of some frames and a reconnect, ms.
+const RECONNECT_MS: f64 = 10_000.0;
+
 /// Where messages are dead-lettered.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum DeadLetters {
@@ -63,6 +66,14 @@
     (replies, simulation.broker.take("dead").iter().map(reason).collect())
 }
 
+fn served() -> Vec<String> {
+    vec!["served".into()]
+}
+
+fn failed() -> Vec<String> {
+    vec!["failed".into()]
+}
+
 /// One dead letter, which states the reason if the settings have a destination for it.
 fn one_dead_letter(dead_letters: DeadLetters, reason: &str) -> Vec<Option<String>> {
     vec![(dead_letters == DeadLetters::Configured).then(|| reason.to_owned())]
@@ -95,3 +106,65 @@
     assert_eq!((simulation.broker.unacked("jobs"), simulation.broker.faults.nack), (0, 100 - 8));
     assert_eq!(results(&mut simulation), (vec![], one_dead_letter(DeadLetters::OfTheQueue, "reply-refused")));
 }
+
+/// Guards against a failed message that is acknowledged, and so lost, because the connection broke on its settlement.
+#[test]
+fn a_failed_message_is_dead_lettered_although_its_settlement_was_lost() {
+    for dead_letters in BOTH {
+        let mut simulation = simulation(dead_letters, |_| {});
+        submit(&mut simulation, "a", "replies");
+        simulation.broker.faults.lose_settlements = 1;
+        run(&mut simulation, false);
+        simulation.elapse(RECONNECT_MS);
+        assert_eq!(simulation.broker.faults.lose_settlements, 0);
+        // The reply was confirmed before the settlement and is not repeated.
+        assert_eq!(results(&mut simulation), (failed(), one_dead_letter(dead_letters, "may-have-run")));
+        assert_eq!(simulation.runs["a"], 1);
+    }
+}
+
+/// Guards against a message that counts as replied because its reply was given up, and is acknowledged at its redelivery.
+#[test]
+fn a_rejected_reply_is_published_again_after_a_lost_settlement() {
+    for dead_letters in BOTH {
+        let mut simulation = simulation(dead_letters, |_| {});
+        submit(&mut simulation, "a", "replies");
+        (simulation.broker.faults.nack, simulation.broker.faults.lose_settlements) = (8, 1);
+        run(&mut simulation, true);
+        simulation.elapse(ALL_REPLY_ATTEMPTS_MS);
+        assert_eq!(simulation.broker.faults.lose_settlements, 0);
+        let dead = match dead_letters {
+            DeadLetters::Configured => one_dead_letter(dead_letters, "reply-refused"),
+            DeadLetters::OfTheQueue => vec![],
+        };
+        assert_eq!(results(&mut simulation), (served(), dead));
+        assert_eq!(simulation.runs["a"], 1);
+    }
+}
+
+/// Guards against a message of one caller that is acknowledged because another caller of its key has the reply.
+#[test]
+fn a_retired_key_tells_its_callers_apart() {
+    let mut simulation = simulation(DeadLetters::Configured, |_| {});
+    submit(&mut simulation, "a", "replies");
+    run(&mut simulation, true);
+    simulation.elapse(1_000.0);
+    // Further keys exceed the records, so that only a hash of the first one is left.
+    for number in 0..=simulation.settings.capacity.records {
+        submit(&mut simulation, &format!("other{number}"), "replies");
+        run(&mut simulation, true);
+        simulation.elapse(1_000.0);
+    }
+    simulation.broker.take("replies");
+    // Another caller of the first key gets no confirmed reply before the connection breaks.
+    simulation.broker.faults.unconfirmed = 2;
+    let other = message("jobs", "a", b"a").reply_to("replies", "another caller");
+    assert!(simulation.broker.publish(other));
+    simulation.elapse(100.0);
+    assert_eq!((simulation.broker.take("replies").len(), simulation.broker.take("dead").len()), (1, 1));
+    assert_eq!(simulation.broker.unacked("jobs"), 1);
+    simulation.disconnect(0);
+    simulation.elapse(RECONNECT_MS);
+    assert_eq!(results(&mut simulation), (failed(), one_dead_letter(DeadLetters::Configured, "result-gone")));
+    assert_eq!(simulation.runs["a"], 1);
+}
