Dead-letter a message whose reply cannot be routed

Callers saw: a message is served and acknowledged, but the queue of its reply does not exist; nobody has the result, nothing keeps it, and the log has no line.

Cause: the broker returns such a publish and confirms it; the settlement took it for a confirmed reply, for the reason that its caller has disconnected.

Evidence: the new test fails on the old code, with and without `dead_letter`: `([], [])` for a dead letter `reply-unroutable`.

--- a/crates/loomflow-amqp/src/failure_reason.rs
+++ b/crates/loomflow-amqp/src/failure_reason.rs
@@ -37,6 +37,8 @@
     pub const RETRIES_EXHAUSTED: FailureReason = FailureReason("refused-too-often");
     /// The broker did not accept the reply to the message.
     pub const REPLY_REJECTED: FailureReason = FailureReason("reply-refused");
+    /// The reply to the message matches no queue.
+    pub const REPLY_UNROUTABLE: FailureReason = FailureReason("reply-unroutable");
 
     /// Creates a reason with this header value.
     pub const fn new(text: &'static str) -> FailureReason {
--- a/crates/loomflow-amqp/src/failure_reason/tests.rs
+++ b/crates/loomflow-amqp/src/failure_reason/tests.rs
@@ -19,6 +19,7 @@
         (FailureReason::OUT_OF_TIME, "out-of-time"),
         (FailureReason::RETRIES_EXHAUSTED, "refused-too-often"),
         (FailureReason::REPLY_REJECTED, "reply-refused"),
+        (FailureReason::REPLY_UNROUTABLE, "reply-unroutable"),
     ];
     for (reason, text) in reasons {
         assert_eq!((reason.as_str(), reason.to_string().as_str()), (text, text));
--- a/crates/loomflow-amqp/src/settlement.rs
+++ b/crates/loomflow-amqp/src/settlement.rs
@@ -331,7 +331,7 @@
         self.reply_state = PublishState::Done;
         match result {
             PublishResult::Confirmed => self.is_reply_confirmed = true,
-            PublishResult::Unroutable => {}
+            PublishResult::Unroutable => self.reply_given_up(FailureReason::REPLY_UNROUTABLE, now),
             PublishResult::Nacked | PublishResult::Unknown if self.reply_attempts < MAX_REPLY_ATTEMPTS => {
                 self.reply_state = PublishState::Scheduled(now + self.backoff.advance());
             }
--- a/crates/loomflow-amqp/tests/settlement.rs
+++ b/crates/loomflow-amqp/tests/settlement.rs
@@ -168,3 +168,16 @@
     assert_eq!(results(&mut simulation), (failed(), one_dead_letter(DeadLetters::Configured, "result-gone")));
     assert_eq!(simulation.runs["a"], 1);
 }
+
+/// Guards against a message that is acknowledged although its reply reached no queue and nothing keeps its outcome.
+#[test]
+fn a_message_whose_reply_cannot_be_routed_is_dead_lettered() {
+    for dead_letters in BOTH {
+        let mut simulation = simulation(dead_letters, |_| {});
+        submit(&mut simulation, "a", "gone");
+        run(&mut simulation, true);
+        simulation.elapse(1_000.0);
+        assert_eq!(results(&mut simulation), (vec![], one_dead_letter(dead_letters, "reply-unroutable")));
+        assert_eq!(simulation.runs["a"], 1);
+    }
+}
