Reject a message whose copy is not confirmed where no dead letters are configured

Operators saw (by reading, shown by the test): without `dead_letter`, a rejected message with an effect whose requeued copy was not confirmed when the publishing channel closed is never settled; it holds its place in the window, a drain waits for it until its deadline, and `dead-lettering a message: run-unknown` repeats.

Cause: this path set a dead letter without a destination, which was published to the default exchange with an empty key, returned, and repeated without a limit.

Evidence: the new test fails on the old code without a destination (`[]` for one dead letter after 10 s).

Change: the path uses the one function that decides where a message is kept.

--- a/crates/loomflow-amqp/src/settlement.rs
+++ b/crates/loomflow-amqp/src/settlement.rs
@@ -364,21 +364,21 @@
         if self.republish_state != PublishState::Published {
             return;
         }
-        self.republish_state = match (result, self.republish) {
-            (PublishResult::Confirmed, _) => PublishState::Done,
+        self.republish_state = PublishState::Done;
+        match (result, self.republish) {
+            (PublishResult::Confirmed, _) => {}
             (PublishResult::Unroutable, Some(Republish::Requeue { .. })) => {
                 // The queue cannot be reached by its name, so the broker has to requeue the message itself.
                 self.settlement = Settlement::Requeue;
-                PublishState::Done
             }
             (PublishResult::Unknown, Some(Republish::Requeue { .. })) if self.context.has_effect => {
                 // The queue may already contain the copy, and both messages would run.
-                self.republish = Some(Republish::DeadLetter(FailureReason::RUN_UNKNOWN));
-                PublishState::Scheduled(now)
+                self.republish = None;
+                self.dead_letter(FailureReason::RUN_UNKNOWN, now);
             }
             // Retried without a limit, so that no message is lost while the broker does not accept it.
-            _ => PublishState::Scheduled(now + self.backoff.advance()),
-        };
+            _ => self.republish_state = PublishState::Scheduled(now + self.backoff.advance()),
+        }
     }
 }
 
--- a/crates/loomflow-amqp/tests/settlement.rs
+++ b/crates/loomflow-amqp/tests/settlement.rs
@@ -181,3 +181,22 @@
         assert_eq!(simulation.runs["a"], 1);
     }
 }
+
+/// Guards against a message that is published to nowhere for good, because no destination of dead letters is configured.
+#[test]
+fn a_copy_with_an_unknown_result_is_dead_lettered_by_the_queue_without_a_destination() {
+    for dead_letters in BOTH {
+        let mut simulation = simulation(dead_letters, |_| {});
+        submit(&mut simulation, "a", "");
+        simulation.broker.faults.unconfirmed = 1;
+        simulation.reject(0, 0.0);
+        simulation.elapse(200.0);
+        // The copy is at the broker, which closes the publishing channel before it confirms it.
+        assert_eq!(simulation.broker.take("jobs").len() + simulation.servers[0].submitted.len(), 1);
+        simulation.broker.close_publishing_channels(541);
+        simulation.elapse(RECONNECT_MS);
+        let dead = simulation.broker.take("dead");
+        let reasons: Vec<_> = dead.iter().map(|message| message.header_text("x-loomflow-reason")).collect();
+        assert_eq!(reasons, one_dead_letter(dead_letters, "run-unknown"), "{dead_letters:?}");
+    }
+}
