Repeat a failure before the run when its message comes again

Callers saw: `failed`, ran `no` (rejected too often, out of time, failed before the run); the connection breaks on the frame that settles the message, which comes again to the same server, runs, and is answered `served`: two final replies, and an effect twice for a caller that has sent the job again under a new id.

Cause: the record of a key kept "not started" and not that the failure is final. A confirmed dead letter hid it; a reject, or a dead letter that is not confirmed, did not.

Evidence: the new test of tests/settlement.rs fails on the old code without `dead_letter`: the message is submitted again after its reply `failed` was confirmed.

Change: the record keeps the failure. A redelivery of that message repeats it and does what is left; a new message with the key runs. The test `only_a_final_outcome_completes_steps` expected that `not-run` is not final, which was this fault; it now expects the opposite.

--- a/crates/loomflow-amqp/src/consumer/delivery.rs
+++ b/crates/loomflow-amqp/src/consumer/delivery.rs
@@ -39,7 +39,7 @@
     /// The message waits for the first delivery of its key to end.
     AwaitingOriginal,
     /// The outcome of the message is known, and its settlement is in progress.
-    Settling(PendingSettlement),
+    Settling(Box<PendingSettlement>),
 }
 
 impl Delivery {
@@ -48,6 +48,12 @@
         matches!(self.phase, Phase::Submitted)
     }
 
+    /// Whether a copy of the message that is republished may run. A message that failed before its run only leaves a dead
+    /// letter.
+    pub(super) fn may_run_as_copy(&self) -> bool {
+        !matches!(&self.phase, Phase::Settling(settling) if settling.failure_before_run().is_some())
+    }
+
     /// Copy id of a republished message; `None` for an original.
     pub(super) fn copy(&self) -> Option<CopyId> {
         message::publish_id(&self.properties)
--- a/crates/loomflow-amqp/src/consumer/inbound.rs
+++ b/crates/loomflow-amqp/src/consumer/inbound.rs
@@ -106,7 +106,7 @@
         };
         self.deliveries.insert(id, delivery);
         if content.is_too_large {
-            self.begin_settlement(id, &MessageOutcome::Invalid(FailureReason::TOO_LARGE), now);
+            self.begin_settlement(id, &MessageOutcome::Failed(FailureReason::TOO_LARGE.into()), now);
         } else {
             self.process(id, now);
         }
@@ -151,7 +151,7 @@
         let Some(delivery) = self.deliveries.get(&id) else { return };
         let (classification, key) = match self.classify(delivery) {
             Ok(classified) => classified,
-            Err(reason) => return self.begin_settlement(id, &MessageOutcome::Invalid(reason), now),
+            Err(reason) => return self.begin_settlement(id, &MessageOutcome::Failed(reason.into()), now),
         };
         let info = MessageInfo {
             has_effect: classification.has_effect,
@@ -175,11 +175,15 @@
                 delivery.remaining = remaining;
                 self.begin_settlement(id, &MessageOutcome::Finished(result), now);
             }
+            DuplicateDecision::RepeatFailure { failure, remaining } => {
+                delivery.remaining = remaining;
+                self.begin_settlement(id, &MessageOutcome::Failed(failure), now);
+            }
             DuplicateDecision::MayHaveRun => self.begin_settlement(id, &MessageOutcome::MayHaveRun, now),
             DuplicateDecision::BodyMismatch => {
                 // The record belongs to the other message, so the outcome of this one must not be recorded.
                 delivery.key = None;
-                self.begin_settlement(id, &MessageOutcome::Invalid(FailureReason::KEY_MISMATCH), now);
+                self.begin_settlement(id, &MessageOutcome::Failed(FailureReason::KEY_MISMATCH.into()), now);
             }
         }
     }
--- a/crates/loomflow-amqp/src/consumer/outbound.rs
+++ b/crates/loomflow-amqp/src/consumer/outbound.rs
@@ -120,7 +120,11 @@
             time_left: deadline.map(|deadline| deadline - now),
             remaining: delivery.remaining,
         };
-        delivery.phase = Phase::Settling(PendingSettlement::new(outcome, context, now));
+        let settling = PendingSettlement::new(outcome, context, now);
+        if let (Some(key), Some(failure)) = (&delivery.key, settling.failure_before_run()) {
+            self.records.failed_before_run(key, delivery.copy(), failure);
+        }
+        delivery.phase = Phase::Settling(Box::new(settling));
         self.advance(id, now);
     }
 
@@ -165,7 +169,7 @@
         let publish_id = self.register_publish(PublishPurpose::Republish(id, to));
         let Some(delivery) = self.deliveries.get(&id) else { return };
         let queue = &self.settings.queues[delivery.queue].name;
-        if let Some(key) = &delivery.key {
+        if let Some(key) = delivery.key.as_ref().filter(|_| delivery.may_run_as_copy()) {
             self.records.republishing(key, delivery.copy(), publish_id);
         }
         let (properties, body) = (&delivery.properties, &delivery.body);
@@ -238,7 +242,8 @@
         let Some(delivery) = self.deliveries.get_mut(&id) else { return };
         let Phase::Settling(settling) = &mut delivery.phase else { return };
         settling.republished(result, now);
-        if let (Some(key), true) = (&delivery.key, result != PublishResult::Unknown) {
+        let is_known = result != PublishResult::Unknown;
+        if let Some(key) = delivery.key.as_ref().filter(|_| is_known && delivery.may_run_as_copy()) {
             self.records.republished(key, publish_id, is_confirmed);
         }
         let count = match to {
--- a/crates/loomflow-amqp/src/idempotency.rs
+++ b/crates/loomflow-amqp/src/idempotency.rs
@@ -20,6 +20,7 @@
 use crate::Millis;
 use crate::remaining_steps::{CallerSteps, RemainingSteps};
 use crate::retired_keys::{RetiredKey, RetiredKeys};
+use crate::settlement::FailureBeforeRun;
 
 /// Identifies a delivery within this process; ids are not reused.
 pub type DeliveryId = u64;
@@ -39,7 +40,7 @@
     Unknown,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 enum KeyState {
     /// Submitted and not started. Duplicates wait for the first delivery.
     Queued,
@@ -47,6 +48,8 @@
     Finished(RunResult),
     /// The last delivery to this server, of the original or of this copy, ended without a run.
     NotStarted(Option<CopyId>),
+    /// As [`KeyState::NotStarted`], with a final failure that its caller may have been told.
+    FailedBeforeRun(Option<CopyId>, FailureBeforeRun),
     /// The message was not started here and was republished, to its queue or as a dead letter. Until the broker
     /// confirms the copy `to`, a second message may or may not exist.
     Republished {
@@ -72,7 +75,7 @@
 }
 
 /// How a message is handled with regard to duplicates.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum DuplicateDecision {
     /// Run the message.
     Run,
@@ -85,6 +88,13 @@
         /// What earlier deliveries of the message did not complete.
         remaining: RemainingSteps,
     },
+    /// An earlier delivery of the message failed before its run: fail in the same way.
+    RepeatFailure {
+        /// Failure of the earlier delivery.
+        failure: FailureBeforeRun,
+        /// What earlier deliveries of the message did not complete.
+        remaining: RemainingSteps,
+    },
     /// A copy of the message was published and confirmed: only settle the message.
     Superseded,
     /// The message may have run in another process: do not run it.
@@ -277,7 +287,15 @@
                 return Lookup::Decided(DuplicateDecision::Superseded);
             }
             KeyState::Republished { .. } => message.redelivered,
-            KeyState::NotStarted(last) => message.redelivered && message.copy != last,
+            KeyState::FailedBeforeRun(last, failure)
+                if is_same_body && message.redelivered && message.copy == last =>
+            {
+                let remaining = completed.unwrap_or(RemainingSteps::ALL);
+                return Lookup::Decided(DuplicateDecision::RepeatFailure { failure, remaining });
+            }
+            KeyState::NotStarted(last) | KeyState::FailedBeforeRun(last, _) => {
+                message.redelivered && message.copy != last
+            }
         };
         Lookup::Undecided { may_have_run_elsewhere }
     }
@@ -315,14 +333,14 @@
     /// Records that a message that was not started is being republished. `from` is its copy id, `None` for an original;
     /// `to` is the id of the new copy.
     pub fn republishing(&mut self, key: &IdempotencyKey, from: Option<CopyId>, to: CopyId) {
-        self.update_republished(key, |state| {
+        self.update_not_started(key, |state| {
             *state = KeyState::Republished { from, to, is_confirmed: false };
         });
     }
 
     /// Records whether the broker accepted a republished copy. Must not be called if that is unknown.
     pub fn republished(&mut self, key: &IdempotencyKey, copy: CopyId, is_confirmed: bool) {
-        self.update_republished(key, |state| {
+        self.update_not_started(key, |state| {
             if let KeyState::Republished { from, to, .. } = *state
                 && to == copy
             {
@@ -335,9 +353,12 @@
         });
     }
 
-    fn update_republished(&mut self, key: &IdempotencyKey, update: impl FnOnce(&mut KeyState)) {
+    fn update_not_started(&mut self, key: &IdempotencyKey, update: impl FnOnce(&mut KeyState)) {
         let is_not_started = |record: &&mut Record| {
-            matches!(record.state, KeyState::NotStarted(_) | KeyState::Republished { .. })
+            matches!(
+                record.state,
+                KeyState::NotStarted(_) | KeyState::FailedBeforeRun(..) | KeyState::Republished { .. }
+            )
         };
         if let Some(record) = self.records.get_mut(key).filter(is_not_started) {
             update(&mut record.state);
@@ -362,6 +383,21 @@
         self.finish(key, KeyState::NotStarted(copy), now)
     }
 
+    /// Records that a delivery of a message that was not started, of the original or of this copy, failed for good.
+    pub fn failed_before_run(
+        &mut self,
+        key: &IdempotencyKey,
+        copy: Option<CopyId>,
+        failure: FailureBeforeRun,
+    ) {
+        self.update_not_started(key, |state| {
+            // A republished copy may still run.
+            if !matches!(state, KeyState::Republished { .. }) {
+                *state = KeyState::FailedBeforeRun(copy, failure);
+            }
+        });
+    }
+
     /// Records the result of the run of a key. Returns the deliveries that waited for it.
     pub fn run_finished(&mut self, key: &IdempotencyKey, result: RunResult, now: Millis) -> Vec<DeliveryId> {
         if let (RunResult::Served(reply), Some(record)) = (&result, self.records.get_mut(key)) {
--- a/crates/loomflow-amqp/src/idempotency/tests.rs
+++ b/crates/loomflow-amqp/src/idempotency/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::failure_reason::FailureReason;
 use crate::remaining_steps::MAX_CALLERS;
 use proptest::prelude::*;
 
@@ -161,6 +162,40 @@
     assert_eq!(records.decide(3, Some(&a), message_info(true, true, 0), 1.0), DuplicateDecision::Run);
 }
 
+#[test]
+fn a_failure_before_the_run_is_repeated_only_for_a_redelivery_of_its_message() {
+    let (a, failure) = (key("a"), FailureBeforeRun::from(FailureReason::RETRIES_EXHAUSTED));
+    let failed_records = || {
+        let mut records = records_without_history();
+        records.decide(1, Some(&a), message_info(true, false, 7), 0.0);
+        records.not_started(&a, None, 0.0);
+        records.failed_before_run(&a, None, failure);
+        records
+    };
+    let decide = |info| failed_records().decide(2, Some(&a), info, 1.0);
+    let redelivered = message_info(true, true, 7);
+    let repeated = |remaining| DuplicateDecision::RepeatFailure { failure, remaining };
+    assert_eq!(decide(redelivered), repeated(RemainingSteps::ALL));
+    assert_eq!(decide(message_info(true, false, 7)), DuplicateDecision::Run, "a new message");
+    assert_eq!(
+        decide(MessageInfo { body_digest: 1, ..message_info(true, false, 7) }),
+        DuplicateDecision::Run
+    );
+    assert_eq!(
+        decide(MessageInfo { copy: Some(5), ..redelivered }),
+        DuplicateDecision::MayHaveRun,
+        "another copy may have run in another process"
+    );
+    let mut records = failed_records();
+    records.steps_completed(&a, 7, RemainingSteps::NONE);
+    assert_eq!(records.decide(2, Some(&a), redelivered, 1.0), repeated(RemainingSteps::NONE));
+    // A copy of another message with the key may still run.
+    let mut records = failed_records();
+    records.republishing(&a, None, 77);
+    records.failed_before_run(&a, None, failure);
+    assert_eq!(records.decide(2, Some(&a), redelivered, 1.0), DuplicateDecision::MayHaveRun);
+}
+
 #[test]
 fn only_one_of_a_message_and_its_republished_copy_runs() {
     let as_copy = |copy, redelivered| MessageInfo { copy, ..message_info(true, redelivered, 0) };
--- a/crates/loomflow-amqp/src/settlement.rs
+++ b/crates/loomflow-amqp/src/settlement.rs
@@ -27,6 +27,21 @@
 /// that the message is dead-lettered. A reply that cannot be routed is not repeated, because its caller has disconnected.
 const MAX_REPLY_ATTEMPTS: u32 = 8;
 
+/// Final failure of a message that was not run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FailureBeforeRun {
+    /// Reason of the failure, for the reply and the dead letter.
+    pub reason: FailureReason,
+    /// How long the caller should back off before a retry, if a time is known.
+    pub retry_after: Option<Millis>,
+}
+
+impl From<FailureReason> for FailureBeforeRun {
+    fn from(reason: FailureReason) -> FailureBeforeRun {
+        FailureBeforeRun { reason, retry_after: None }
+    }
+}
+
 /// Outcome of a message.
 #[derive(Clone, Debug, PartialEq)]
 pub enum MessageOutcome {
@@ -43,8 +58,9 @@
     },
     /// The message failed before its run was started.
     NotRun,
-    /// The message cannot be handled for this reason, for example an unknown class or a body that is too large.
-    Invalid(FailureReason),
+    /// The message cannot be handled, for example because of an unknown class or a body that is too large, or an earlier
+    /// delivery of it failed before its run.
+    Failed(FailureBeforeRun),
     /// The message may have run in another process.
     MayHaveRun,
     /// The message is returned to its queue without a run because the server is shutting down.
@@ -140,40 +156,54 @@
     settlement: Settlement,
     /// Delay before the message is republished.
     delay: Millis,
+    /// Set if the message fails before its run.
+    failure: Option<FailureBeforeRun>,
 }
 
 impl Plan {
-    fn failed(reason: FailureReason, may_have_run: bool, dead_letter: FailureReason) -> Plan {
+    fn dead_lettered(reply: ReplyStatus, reason: FailureReason) -> Plan {
         Plan {
-            reply: Some(ReplyStatus::Failed { reason, may_have_run, retry_after: None }),
-            republish: Some(Republish::DeadLetter(dead_letter)),
-            settlement: Settlement::Reject(dead_letter),
+            reply: Some(reply),
+            republish: Some(Republish::DeadLetter(reason)),
+            settlement: Settlement::Reject(reason),
             delay: 0.0,
+            failure: None,
         }
     }
 
+    fn may_have_run(reason: FailureReason, dead_letter: FailureReason) -> Plan {
+        let reply = ReplyStatus::Failed { reason, may_have_run: true, retry_after: None };
+        Plan::dead_lettered(reply, dead_letter)
+    }
+
+    fn failed_before_run(failure: FailureBeforeRun) -> Plan {
+        let FailureBeforeRun { reason, retry_after } = failure;
+        let reply = ReplyStatus::Failed { reason, may_have_run: false, retry_after };
+        Plan { failure: Some(failure), ..Plan::dead_lettered(reply, reason) }
+    }
+
     fn acknowledged(reply: Option<ReplyStatus>) -> Plan {
-        Plan { reply, republish: None, settlement: Settlement::Ack, delay: 0.0 }
+        Plan { reply, republish: None, settlement: Settlement::Ack, delay: 0.0, failure: None }
     }
 
     fn new(outcome: &MessageOutcome, context: &SettlementContext) -> Plan {
         match outcome {
             MessageOutcome::Finished(RunResult::Failed) => {
-                Plan::failed(FailureReason::FAILED, true, FailureReason::MAY_HAVE_RUN)
+                Plan::may_have_run(FailureReason::FAILED, FailureReason::MAY_HAVE_RUN)
             }
             MessageOutcome::Finished(RunResult::ReplyDiscarded) => {
-                Plan::failed(FailureReason::RESULT_DISCARDED, true, FailureReason::RESULT_DISCARDED)
+                Plan::may_have_run(FailureReason::RESULT_DISCARDED, FailureReason::RESULT_DISCARDED)
             }
             MessageOutcome::MayHaveRun | MessageOutcome::Finished(RunResult::Unknown) => {
-                Plan::failed(FailureReason::RUN_UNKNOWN, true, FailureReason::RUN_UNKNOWN)
+                Plan::may_have_run(FailureReason::RUN_UNKNOWN, FailureReason::RUN_UNKNOWN)
             }
             MessageOutcome::Finished(served) => Plan::acknowledged(Some(ReplyStatus::Served(served.clone()))),
             MessageOutcome::Superseded => Plan::acknowledged(None),
             MessageOutcome::Rejected { retry_after, is_final } => {
                 Plan::rejected(*retry_after, *is_final, context)
             }
-            MessageOutcome::NotRun => Plan::failed(FailureReason::NOT_RUN, false, FailureReason::NOT_RUN),
-            MessageOutcome::Invalid(reason) => Plan::failed(*reason, false, *reason),
+            MessageOutcome::NotRun => Plan::failed_before_run(FailureReason::NOT_RUN.into()),
+            MessageOutcome::Failed(failure) => Plan::failed_before_run(*failure),
             MessageOutcome::Returned => Plan::returned(context),
         }
     }
@@ -185,18 +215,18 @@
         // `is_final` applies only if the time left is known: other messages are retried.
         if context.time_left.is_some_and(|time_left| is_final || delay >= time_left) {
             // A retry would come too late, so the sender gets a failure at once, and the message is never run late.
-            let reason = FailureReason::OUT_OF_TIME;
-            let reply = ReplyStatus::Failed { reason, may_have_run: false, retry_after: Some(retry_after) };
-            return Plan { reply: Some(reply), ..Plan::failed(reason, false, reason) };
+            let (reason, retry_after) = (FailureReason::OUT_OF_TIME, Some(retry_after));
+            return Plan::failed_before_run(FailureBeforeRun { reason, retry_after });
         }
         if context.retry_count >= context.max_retries {
-            return Plan::failed(FailureReason::RETRIES_EXHAUSTED, false, FailureReason::RETRIES_EXHAUSTED);
+            return Plan::failed_before_run(FailureReason::RETRIES_EXHAUSTED.into());
         }
         Plan {
             reply: Some(ReplyStatus::Rejected(delay)),
             republish: Some(Republish::Requeue { retry_count: context.retry_count + 1 }),
             settlement: Settlement::Ack,
             delay,
+            failure: None,
         }
     }
 
@@ -225,14 +255,16 @@
     backoff: ExponentialBackoff,
     reply_attempts: u32,
     context: SettlementContext,
-    /// Whether the outcome is final for the key and not only for this delivery.
-    is_final_reply: bool,
+    /// Set if the message fails before its run.
+    failure: Option<FailureBeforeRun>,
+    /// Whether redeliveries of the message have the same outcome.
+    is_final: bool,
 }
 
 impl PendingSettlement {
     /// Starts the settlement of a message that ended at `now`.
     pub fn new(outcome: &MessageOutcome, context: SettlementContext, now: Millis) -> PendingSettlement {
-        let Plan { reply, republish, settlement, delay } = Plan::new(outcome, &context);
+        let Plan { reply, republish, settlement, delay, failure } = Plan::new(outcome, &context);
         let reply = reply.filter(|_| context.has_reply_to && context.remaining.reply);
         let (republish, settlement) = match republish {
             Some(Republish::DeadLetter(_)) if !context.remaining.dead_letter => (None, Settlement::Ack),
@@ -254,10 +286,17 @@
             backoff: ExponentialBackoff::new(MIN_PUBLISH_BACKOFF_MS, MAX_PUBLISH_BACKOFF_MS),
             reply_attempts: 0,
             context,
-            is_final_reply: matches!(outcome, MessageOutcome::Finished(_) | MessageOutcome::MayHaveRun),
+            failure,
+            is_final: failure.is_some()
+                || matches!(outcome, MessageOutcome::Finished(_) | MessageOutcome::MayHaveRun),
         }
     }
 
+    /// The failure of a message that was not run and must not be run by a redelivery.
+    pub fn failure_before_run(&self) -> Option<FailureBeforeRun> {
+        self.failure
+    }
+
     /// Takes the next action that is due; `None` if there is none at this time.
     pub fn next_action(&mut self, now: Millis) -> Option<SettlementAction> {
         if let (PublishState::Scheduled(at), Some(reply)) = (self.reply_state, &self.reply)
@@ -295,7 +334,7 @@
 
     /// What a redelivery of the message would still have to do; everything unless the outcome is final.
     pub fn remaining_steps(&self) -> RemainingSteps {
-        if !self.is_final_reply {
+        if !self.is_final {
             return RemainingSteps::ALL;
         }
         let reply = self.reply.is_some() && !self.is_reply_confirmed;
--- a/crates/loomflow-amqp/src/settlement/tests.rs
+++ b/crates/loomflow-amqp/src/settlement/tests.rs
@@ -222,7 +222,8 @@
     assert!(
         is_completed(MessageOutcome::Finished(RunResult::Failed)) && is_completed(MessageOutcome::MayHaveRun)
     );
-    assert!(!is_completed(rejected(0.0)) && !is_completed(MessageOutcome::NotRun));
+    assert!(is_completed(MessageOutcome::NotRun), "a redelivery must not run it");
+    assert!(!is_completed(rejected(0.0)));
 }
 
 #[test]
--- a/crates/loomflow-amqp/tests/settlement.rs
+++ b/crates/loomflow-amqp/tests/settlement.rs
@@ -200,3 +200,26 @@
         assert_eq!(reasons, one_dead_letter(dead_letters, "run-unknown"), "{dead_letters:?}");
     }
 }
+
+/// Guards against a message that runs after its caller was told that it does not, because its settlement was lost.
+#[test]
+fn a_failure_before_the_run_is_final_although_the_settlement_was_lost() {
+    for dead_letters in BOTH {
+        let mut simulation = simulation(dead_letters, |settings| settings.max_retries = 0);
+        submit(&mut simulation, "a", "replies");
+        simulation.broker.faults.lose_settlements = 1;
+        simulation.reject(0, 0.0);
+        simulation.elapse(RECONNECT_MS);
+        assert_eq!(simulation.broker.faults.lose_settlements, 0);
+        assert!(
+            simulation.servers[0].submitted.is_empty(),
+            "{dead_letters:?}: the message is submitted again"
+        );
+        assert_eq!(results(&mut simulation), (failed(), one_dead_letter(dead_letters, "refused-too-often")));
+        // A new message with the same key is a new request.
+        submit(&mut simulation, "a", "replies");
+        run(&mut simulation, true);
+        simulation.elapse(1_000.0);
+        assert_eq!(results(&mut simulation), (served(), vec![]));
+    }
+}
