Take a message for superseded only by the copy that was made of it

Callers saw: two callers publish one key, both messages are rejected and requeued, a channel breaks in between; one message comes again, is acknowledged at once, and its caller has neither a reply nor a dead letter.

Cause: the record of a key kept the last copy and the copy id of the message it replaces, which is none for every message of a sender, so that the copy of one caller's message superseded that of another.

Evidence: the model now gives each message a caller of its own and checks each. It also has publishes that cannot be routed or are rejected ten times, lost settlements and closed publishing channels, with and without a destination of dead letters.

Change: a message within its key is identified by copy and caller. The test broker returns a message with an empty body without a body frame, as the specification (4.2.6) wants; the model's broker closed connections by it.

--- a/crates/loomflow-amqp/src/consumer/delivery.rs
+++ b/crates/loomflow-amqp/src/consumer/delivery.rs
@@ -3,7 +3,7 @@
 use amq_protocol::protocol::basic::AMQPProperties;
 
 use crate::Millis;
-use crate::idempotency::{CopyId, IdempotencyKey};
+use crate::idempotency::{CopyId, IdempotencyKey, MessageIdentity};
 use crate::message::{self, Classification};
 use crate::remaining_steps::RemainingSteps;
 use crate::settlement::PendingSettlement;
@@ -58,4 +58,9 @@
     pub(super) fn copy(&self) -> Option<CopyId> {
         message::publish_id(&self.properties)
     }
+
+    /// Which of the messages of its key the delivery has.
+    pub(super) fn identity(&self) -> MessageIdentity {
+        MessageIdentity { copy: self.copy(), caller_digest: message::caller_digest(&self.properties) }
+    }
 }
--- a/crates/loomflow-amqp/src/consumer/inbound.rs
+++ b/crates/loomflow-amqp/src/consumer/inbound.rs
@@ -156,8 +156,7 @@
         let info = MessageInfo {
             has_effect: classification.has_effect,
             redelivered: delivery.redelivered,
-            copy: delivery.copy(),
-            caller_digest: message::caller_digest(&delivery.properties),
+            identity: delivery.identity(),
             body_digest: self.records.digest(&delivery.body),
         };
         let decision = self.records.decide(id, key.as_ref(), info, now);
--- a/crates/loomflow-amqp/src/consumer/outbound.rs
+++ b/crates/loomflow-amqp/src/consumer/outbound.rs
@@ -122,7 +122,7 @@
         };
         let settling = PendingSettlement::new(outcome, context, now);
         if let (Some(key), Some(failure)) = (&delivery.key, settling.failure_before_run()) {
-            self.records.failed_before_run(key, delivery.copy(), failure);
+            self.records.failed_before_run(key, delivery.identity(), failure);
         }
         delivery.phase = Phase::Settling(Box::new(settling));
         self.advance(id, now);
@@ -170,7 +170,7 @@
         let Some(delivery) = self.deliveries.get(&id) else { return };
         let queue = &self.settings.queues[delivery.queue].name;
         if let Some(key) = delivery.key.as_ref().filter(|_| delivery.may_run_as_copy()) {
-            self.records.republishing(key, delivery.copy(), publish_id);
+            self.records.republishing(key, delivery.identity(), publish_id);
         }
         let (properties, body) = (&delivery.properties, &delivery.body);
         let publish = message::republished(&self.settings, queue, properties, body, to, publish_id);
--- a/crates/loomflow-amqp/src/idempotency.rs
+++ b/crates/loomflow-amqp/src/idempotency.rs
@@ -48,17 +48,26 @@
     Finished(RunResult),
     /// The last delivery to this server, of the original or of this copy, ended without a run.
     NotStarted(Option<CopyId>),
-    /// As [`KeyState::NotStarted`], with a final failure that its caller may have been told.
-    FailedBeforeRun(Option<CopyId>, FailureBeforeRun),
-    /// The message was not started here and was republished, to its queue or as a dead letter. Until the broker
+    /// This message was not started and has a final failure that its caller may have been told.
+    FailedBeforeRun(MessageIdentity, FailureBeforeRun),
+    /// The message `from` was not started here and was republished, to its queue or as a dead letter. Until the broker
     /// confirms the copy `to`, a second message may or may not exist.
     Republished {
-        from: Option<CopyId>,
+        from: MessageIdentity,
         to: CopyId,
         is_confirmed: bool,
     },
 }
 
+/// Distinguishes the messages of one key.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct MessageIdentity {
+    /// Copy id of a republished message; `None` for an original.
+    pub copy: Option<CopyId>,
+    /// Distinguishes callers that use the same key.
+    pub caller_digest: u64,
+}
+
 /// Properties of a message that [`IdempotencyRecords::decide`] uses beside its key.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct MessageInfo {
@@ -66,10 +75,8 @@
     pub has_effect: bool,
     /// Whether the broker marked the message as redelivered.
     pub redelivered: bool,
-    /// Copy id of a republished message; `None` for an original.
-    pub copy: Option<CopyId>,
-    /// Distinguishes callers that use the same key.
-    pub caller_digest: u64,
+    /// Which of the messages of its key it is.
+    pub identity: MessageIdentity,
     /// Digest of the body ([`IdempotencyRecords::digest`]).
     pub body_digest: u64,
 }
@@ -170,7 +177,7 @@
     /// Whether the message may have been delivered to this server before, so that its caller may already have the
     /// reply. A new message with the same key is a new request, which gets a reply again.
     fn may_be_known(&self) -> bool {
-        self.redelivered || self.copy.is_some()
+        self.redelivered || self.identity.copy.is_some()
     }
 }
 
@@ -265,7 +272,8 @@
     fn look_up(&mut self, id: DeliveryId, key: &IdempotencyKey, message: &MessageInfo) -> Lookup {
         let Some(record) = self.records.get_mut(key) else { return self.look_up_retired(key, message) };
         let is_same_body = record.body_digest == message.body_digest;
-        let completed = record.caller_steps.get(message.caller_digest).filter(|_| message.may_be_known());
+        let completed =
+            record.caller_steps.get(message.identity.caller_digest).filter(|_| message.may_be_known());
         let may_have_run_elsewhere = match record.state.clone() {
             KeyState::Queued | KeyState::Running | KeyState::Finished(_) if !is_same_body => {
                 return Lookup::Decided(DuplicateDecision::BodyMismatch);
@@ -282,19 +290,19 @@
             }
             KeyState::Finished(_) => false,
             KeyState::Republished { from, is_confirmed: true, .. }
-                if message.redelivered && message.copy == from =>
+                if message.redelivered && message.identity == from =>
             {
                 return Lookup::Decided(DuplicateDecision::Superseded);
             }
             KeyState::Republished { .. } => message.redelivered,
             KeyState::FailedBeforeRun(last, failure)
-                if is_same_body && message.redelivered && message.copy == last =>
+                if is_same_body && message.redelivered && message.identity == last =>
             {
                 let remaining = completed.unwrap_or(RemainingSteps::ALL);
                 return Lookup::Decided(DuplicateDecision::RepeatFailure { failure, remaining });
             }
-            KeyState::NotStarted(last) | KeyState::FailedBeforeRun(last, _) => {
-                message.redelivered && message.copy != last
+            KeyState::NotStarted(copy) | KeyState::FailedBeforeRun(MessageIdentity { copy, .. }, _) => {
+                message.redelivered && message.identity.copy != copy
             }
         };
         Lookup::Undecided { may_have_run_elsewhere }
@@ -304,7 +312,7 @@
     fn look_up_retired(&self, key: &IdempotencyKey, message: &MessageInfo) -> Lookup {
         if let Some(retired) = self.retired_keys.get(key).filter(|_| message.has_effect) {
             let is_completed =
-                retired.completed_caller.is_some_and(|caller| caller.get() == message.caller_digest);
+                retired.completed_caller.is_some_and(|caller| caller.get() == message.identity.caller_digest);
             let remaining = if message.may_be_known() && is_completed {
                 RemainingSteps::NONE
             } else {
@@ -330,9 +338,8 @@
         self.records.insert(key.clone(), record);
     }
 
-    /// Records that a message that was not started is being republished. `from` is its copy id, `None` for an original;
-    /// `to` is the id of the new copy.
-    pub fn republishing(&mut self, key: &IdempotencyKey, from: Option<CopyId>, to: CopyId) {
+    /// Records that the message `from`, which was not started, is being republished; `to` is the id of the new copy.
+    pub fn republishing(&mut self, key: &IdempotencyKey, from: MessageIdentity, to: CopyId) {
         self.update_not_started(key, |state| {
             *state = KeyState::Republished { from, to, is_confirmed: false };
         });
@@ -347,7 +354,7 @@
                 *state = if is_confirmed {
                     KeyState::Republished { from, to, is_confirmed: true }
                 } else {
-                    KeyState::NotStarted(from)
+                    KeyState::NotStarted(from.copy)
                 };
             }
         });
@@ -383,17 +390,17 @@
         self.finish(key, KeyState::NotStarted(copy), now)
     }
 
-    /// Records that a delivery of a message that was not started, of the original or of this copy, failed for good.
+    /// Records that this message, which was not started, failed for good.
     pub fn failed_before_run(
         &mut self,
         key: &IdempotencyKey,
-        copy: Option<CopyId>,
+        message: MessageIdentity,
         failure: FailureBeforeRun,
     ) {
         self.update_not_started(key, |state| {
             // A republished copy may still run.
             if !matches!(state, KeyState::Republished { .. }) {
-                *state = KeyState::FailedBeforeRun(copy, failure);
+                *state = KeyState::FailedBeforeRun(message, failure);
             }
         });
     }
--- a/crates/loomflow-amqp/src/idempotency/tests.rs
+++ b/crates/loomflow-amqp/src/idempotency/tests.rs
@@ -8,7 +8,8 @@
 }
 
 fn message_info(has_effect: bool, redelivered: bool, caller_digest: u64) -> MessageInfo {
-    MessageInfo { has_effect, redelivered, copy: None, caller_digest, body_digest: 0 }
+    let identity = MessageIdentity { copy: None, caller_digest };
+    MessageInfo { has_effect, redelivered, identity, body_digest: 0 }
 }
 
 fn capacity(records: usize, replies: usize) -> Capacity {
@@ -128,7 +129,8 @@
         from_record(RemainingSteps::ALL),
         "a new message of the same caller gets a reply again"
     );
-    let copied = MessageInfo { copy: Some(1), ..message_info(true, false, 7) };
+    let identity = MessageIdentity { copy: Some(1), caller_digest: 7 };
+    let copied = MessageInfo { identity, ..message_info(true, false, 7) };
     assert_eq!(
         records.decide(8, Some(&a), copied, 1.0),
         from_record(RemainingSteps::NONE),
@@ -165,11 +167,12 @@
 #[test]
 fn a_failure_before_the_run_is_repeated_only_for_a_redelivery_of_its_message() {
     let (a, failure) = (key("a"), FailureBeforeRun::from(FailureReason::RETRIES_EXHAUSTED));
+    let ours = MessageIdentity { copy: None, caller_digest: 7 };
     let failed_records = || {
         let mut records = records_without_history();
         records.decide(1, Some(&a), message_info(true, false, 7), 0.0);
         records.not_started(&a, None, 0.0);
-        records.failed_before_run(&a, None, failure);
+        records.failed_before_run(&a, ours, failure);
         records
     };
     let decide = |info| failed_records().decide(2, Some(&a), info, 1.0);
@@ -182,7 +185,7 @@
         DuplicateDecision::Run
     );
     assert_eq!(
-        decide(MessageInfo { copy: Some(5), ..redelivered }),
+        decide(MessageInfo { identity: MessageIdentity { copy: Some(5), ..ours }, ..redelivered }),
         DuplicateDecision::MayHaveRun,
         "another copy may have run in another process"
     );
@@ -191,19 +194,22 @@
     assert_eq!(records.decide(2, Some(&a), redelivered, 1.0), repeated(RemainingSteps::NONE));
     // A copy of another message with the key may still run.
     let mut records = failed_records();
-    records.republishing(&a, None, 77);
-    records.failed_before_run(&a, None, failure);
+    records.republishing(&a, ours, 77);
+    records.failed_before_run(&a, ours, failure);
     assert_eq!(records.decide(2, Some(&a), redelivered, 1.0), DuplicateDecision::MayHaveRun);
 }
 
 #[test]
 fn only_one_of_a_message_and_its_republished_copy_runs() {
-    let as_copy = |copy, redelivered| MessageInfo { copy, ..message_info(true, redelivered, 0) };
+    let as_copy = |copy, redelivered| MessageInfo {
+        identity: MessageIdentity { copy, caller_digest: 0 },
+        ..message_info(true, redelivered, 0)
+    };
     let republished = |is_confirmed: bool| {
         let mut records = records_without_history();
         records.decide(1, Some(&key("a")), as_copy(None, false), 0.0);
         records.not_started(&key("a"), None, 0.0);
-        records.republishing(&key("a"), None, 77);
+        records.republishing(&key("a"), MessageIdentity::default(), 77);
         if is_confirmed {
             records.republished(&key("a"), 77, true);
         }
@@ -244,6 +250,23 @@
     assert_eq!(records.decide(2, Some(&key("a")), as_copy(None, true), 1.0), DuplicateDecision::Run);
 }
 
+/// Guards against a message that is acknowledged because the message of another caller of its key was republished.
+#[test]
+fn a_copy_supersedes_only_the_message_of_its_caller() {
+    let mut records = records_without_history();
+    let a = key("a");
+    records.decide(1, Some(&a), message_info(true, false, 1), 0.0);
+    records.not_started(&a, None, 0.0);
+    records.republishing(&a, MessageIdentity { copy: None, caller_digest: 1 }, 77);
+    records.republished(&a, 77, true);
+    assert_eq!(
+        records.decide(2, Some(&a), message_info(true, true, 2), 1.0),
+        DuplicateDecision::MayHaveRun,
+        "the copy of the other message may have run"
+    );
+    assert_eq!(records.decide(3, Some(&a), message_info(true, true, 1), 1.0), DuplicateDecision::Superseded);
+}
+
 #[test]
 fn retained_replies_are_bounded_and_discarded_ones_still_count_as_run() {
     let mut records = records_without_history();
--- a/crates/loomflow-amqp/tests/common/simulation.rs
+++ b/crates/loomflow-amqp/tests/common/simulation.rs
@@ -7,7 +7,7 @@
 use loomflow_amqp::idempotency::NoHistory;
 use loomflow_amqp::*;
 use loomflow_test_servers::broker::state::{Faults, State};
-use loomflow_test_servers::broker::{Message, Settled, message};
+use loomflow_test_servers::broker::{Settled, message};
 
 use crate::common::{decode, settings};
 
@@ -38,7 +38,10 @@
     pub servers: Vec<Server>,
     pub settings: Settings,
     pub connections_opened: u64,
+    /// Number of keys that were published.
     pub published: u64,
+    /// The key of each published message. Its index is the correlation id of the message.
+    pub messages: Vec<String>,
     pub runs: BTreeMap<String, usize>,
     /// Number of runs that were lost with the restart of their server.
     pub lost_runs: usize,
@@ -63,6 +66,7 @@
             settings,
             connections_opened: 0,
             published: 0,
+            messages: Vec::new(),
             runs: BTreeMap::new(),
             lost_runs: 0,
             failed_connections: 0,
@@ -89,13 +93,15 @@
         }
     }
 
-    /// Publishes a new message, or a duplicate of an earlier one.
-    pub fn publish(&mut self, duplicate_of: Option<u64>) {
+    /// Publishes a new message, or one of another caller with the key and body of an earlier one.
+    pub fn publish(&mut self, duplicate_of: Option<u64>, reply_to: &str) {
         let number =
             duplicate_of.filter(|_| self.published > 0).map_or(self.published, |n| n % self.published);
         self.published += u64::from(number == self.published);
         let id = format!("j{number}");
-        assert!(self.broker.publish(message("jobs", &id, id.as_bytes()).reply_to("replies", &id)));
+        let caller = self.messages.len().to_string();
+        assert!(self.broker.publish(message("jobs", &id, id.as_bytes()).reply_to(reply_to, &caller)));
+        self.messages.push(id);
     }
 
     pub fn advance(&mut self, at: usize) {
@@ -263,17 +269,30 @@
         if self.settings.classes[0].has_effect {
             assert!(self.runs.values().all(|count| *count == 1), "{:?}", self.runs);
         }
-        let body = |message: &Message| String::from_utf8(message.body.clone()).unwrap();
-        let dead: Vec<String> = self.broker.take("dead").iter().map(body).collect();
         let replies = self.broker.take("replies");
-        for number in 0..self.published {
-            let id = format!("j{number}");
-            let served = replies.iter().any(|reply| reply.correlation() == id && reply.kind() == "served");
-            assert!(served || dead.contains(&id), "{id} was neither served nor dead-lettered");
+        let dead = self.broker.take("dead");
+        for (caller, id) in self.messages.iter().enumerate() {
+            let caller = caller.to_string();
+            let has_reply = |kind: &str| {
+                replies.iter().any(|reply| reply.correlation() == caller && reply.kind() == kind)
+            };
+            let is_dead_lettered =
+                dead.iter().any(|message| message.correlation() == caller && message.body == id.as_bytes());
+            assert!(
+                has_reply("served") || is_dead_lettered,
+                "{id} of caller {caller} was neither served nor dead-lettered"
+            );
         }
-        // A failed message is published as a dead letter and then acknowledged; `basic.reject` would lose the reason.
+        self.check_settlements();
+    }
+
+    /// Checks that messages are rejected only where dead-lettering is left to their queue.
+    fn check_settlements(&self) {
         let rejected =
             self.broker.settled.iter().filter(|(_, settled)| *settled == Settled::Rejected).count();
-        assert_eq!(rejected, 0, "failed messages are dead-lettered with a reason and acknowledged");
+        assert!(
+            rejected == 0 || self.settings.dead_letter.is_none(),
+            "failed messages are dead-lettered with a reason and acknowledged"
+        );
     }
 }
--- a/crates/loomflow-amqp/tests/model.rs
+++ b/crates/loomflow-amqp/tests/model.rs
@@ -1,6 +1,7 @@
 //! Model-based test of consumers against the state machine of the test broker, without sockets. In generated sequences
-//! of redeliveries, lost frames, closed channels and connections, rejections, restarts and drains, messages with an
-//! external effect run at most once, every message is finished, and none is settled twice.
+//! of redeliveries, lost frames and settlements, rejected and unroutable publishes, closed channels and connections,
+//! rejections, restarts and drains, messages with an external effect run at most once, and every message is served or
+//! dead-lettered, to a configured destination or by its queue.
 
 mod common;
 #[path = "common/simulation.rs"]
@@ -15,7 +16,7 @@
 
 #[derive(Clone, Debug)]
 enum SimulationStep {
-    Publish(Option<u64>),
+    Publish(Option<u64>, &'static str),
     AdvanceTime(f64),
     ExchangeFrames(usize, usize),
     StartRun(usize),
@@ -26,13 +27,15 @@
     Drain(usize),
     CloseChannels,
     CancelConsumers,
+    ClosePublishingChannels,
     Fault(u8),
 }
 
 fn steps() -> impl Strategy<Value = Vec<SimulationStep>> {
     let at = 0usize..2;
+    let reply_to = prop_oneof![9 => Just("replies"), 1 => Just("gone")];
     let step = prop_oneof![
-        6 => proptest::option::weighted(0.15, 0u64..50).prop_map(SimulationStep::Publish),
+        6 => (proptest::option::weighted(0.15, 0u64..50), reply_to).prop_map(|(of, to)| SimulationStep::Publish(of, to)),
         4 => (1.0f64..400.0).prop_map(SimulationStep::AdvanceTime),
         20 => (at.clone(), 1usize..40).prop_map(|(at, count)| SimulationStep::ExchangeFrames(at, count)),
         8 => at.clone().prop_map(SimulationStep::StartRun),
@@ -43,16 +46,27 @@
         1 => at.prop_map(SimulationStep::Drain),
         1 => Just(SimulationStep::CloseChannels),
         1 => Just(SimulationStep::CancelConsumers),
-        2 => (0u8..4).prop_map(SimulationStep::Fault),
+        1 => Just(SimulationStep::ClosePublishingChannels),
+        3 => (0u8..6).prop_map(SimulationStep::Fault),
     ];
     proptest::collection::vec(step, 1..250)
 }
 
+/// Settings with a destination of dead letters, and settings that leave dead-lettering to the queue.
+fn both_settings(has_effect: bool) -> [Settings; 2] {
+    let with_destination = settings(has_effect);
+    let without_destination = Settings { dead_letter: None, ..with_destination.clone() };
+    [with_destination, without_destination]
+}
+
 /// Simulates the steps. Servers share no records and lose them in a restart, so a key that is published twice runs only
 /// once if the same server receives both messages. Therefore keys are published twice only with a single server that
 /// never restarts. Redeliveries occur in either case.
-fn play(servers: usize, has_effect: bool, steps: Vec<SimulationStep>) -> Simulation {
-    let mut simulation = Simulation::new(servers, has_effect);
+fn play(servers: usize, settings: Settings, steps: Vec<SimulationStep>) -> Simulation {
+    let mut simulation = Simulation::with_settings(servers, settings);
+    if simulation.settings.dead_letter.is_none() {
+        simulation.broker.declare("jobs", Some(("", "dead")));
+    }
     let is_single = servers == 1;
     for step in steps {
         match step {
@@ -63,8 +77,8 @@
             SimulationStep::Reject(at, _) | SimulationStep::Disconnect(at) if at >= servers => {}
             SimulationStep::Restart(_) | SimulationStep::Drain(_) if is_single => {}
             SimulationStep::Fault(1) if !is_single => {}
-            SimulationStep::Publish(Some(_)) if !is_single => simulation.publish(None),
-            SimulationStep::Publish(duplicate_of) => simulation.publish(duplicate_of),
+            SimulationStep::Publish(Some(_), to) if !is_single => simulation.publish(None, to),
+            SimulationStep::Publish(duplicate_of, to) => simulation.publish(duplicate_of, to),
             SimulationStep::AdvanceTime(duration) => simulation.now += duration,
             SimulationStep::ExchangeFrames(at, count) => simulation.exchange(at, count),
             SimulationStep::StartRun(at) => simulation.start_run(at),
@@ -75,10 +89,13 @@
             SimulationStep::Drain(at) => simulation.drain(at),
             SimulationStep::CloseChannels => simulation.broker.close_channels("jobs", 541),
             SimulationStep::CancelConsumers => simulation.broker.cancel_consumers("jobs"),
+            SimulationStep::ClosePublishingChannels => simulation.broker.close_publishing_channels(541),
             SimulationStep::Fault(0) => simulation.broker.faults.nack += 1,
             SimulationStep::Fault(1) => simulation.broker.faults.duplicate += 1,
             SimulationStep::Fault(2) => simulation.broker.faults.unconfirmed += 1,
-            SimulationStep::Fault(_) => simulation.broker.faults.forget_acks += 1,
+            SimulationStep::Fault(3) => simulation.broker.faults.forget_acks += 1,
+            SimulationStep::Fault(4) => simulation.broker.faults.nack += 10,
+            SimulationStep::Fault(_) => simulation.broker.faults.lose_settlements += 1,
         }
     }
     simulation
@@ -124,7 +141,7 @@
     for _ in 0..20 {
         simulation.exchange(0, usize::MAX);
     }
-    simulation.publish(None);
+    simulation.publish(None, "replies");
     simulation.exchange(0, usize::MAX);
     assert_eq!(simulation.servers[0].submitted.len(), 1);
     simulation
@@ -187,8 +204,8 @@
 
     #[test]
     fn effects_run_at_most_once_and_every_message_is_finished(steps in steps()) {
-        for servers in [1, 2] {
-            let mut simulation = play(servers, true, steps.clone());
+        for (servers, settings) in [1, 2].into_iter().flat_map(|servers| both_settings(true).map(|settings| (servers, settings))) {
+            let mut simulation = play(servers, settings, steps.clone());
             simulation.run_to_completion();
             simulation.check();
         }
@@ -196,8 +213,10 @@
 
     #[test]
     fn every_message_without_an_effect_is_finished(steps in steps()) {
-        let mut simulation = play(2, false, steps);
-        simulation.run_to_completion();
-        simulation.check();
+        for settings in both_settings(false) {
+            let mut simulation = play(2, settings, steps.clone());
+            simulation.run_to_completion();
+            simulation.check();
+        }
     }
 }
--- a/crates/loomflow-test-servers/src/broker/state/delivery.rs
+++ b/crates/loomflow-test-servers/src/broker/state/delivery.rs
@@ -57,8 +57,15 @@
             routing_key: publish.routing_key,
         };
         self.send(id, number, AMQPClass::Basic(Basic::Return(method)));
+        self.send_content(id, number, header, &body);
+    }
+
+    /// Sends a content header and its body, which has no frame if it is empty.
+    fn send_content(&mut self, id: ConnectionId, number: u16, header: AMQPContentHeader, body: &[u8]) {
         self.out.push((id, Some(AMQPFrame::Header(number, header))));
-        self.out.push((id, Some(AMQPFrame::Body(number, body))));
+        for part in body.chunks(MAX_BODY_FRAME_BYTES) {
+            self.out.push((id, Some(AMQPFrame::Body(number, part.to_vec()))));
+        }
     }
 
     /// Acknowledges or rejects a publish on a channel in confirm mode.
@@ -186,9 +193,6 @@
         let body_size = message.body.len() as u64;
         let properties = message.properties;
         let header = AMQPContentHeader { class_id: BASIC_CLASS_ID, body_size, properties };
-        self.out.push((to.connection, Some(AMQPFrame::Header(to.channel, header))));
-        for part in message.body.chunks(MAX_BODY_FRAME_BYTES) {
-            self.out.push((to.connection, Some(AMQPFrame::Body(to.channel, part.to_vec()))));
-        }
+        self.send_content(to.connection, to.channel, header, &message.body);
     }
 }
