Keep the backoff from a broker that rejects publishes while the server drains

Operators saw (by reading, shown by the test): a draining server whose broker rejects a dead letter or a requeued message publishes it again as often as the broker answers, until the drain ends, with a log line each.

Cause: a draining server skips the delay before a rejected message is requeued, and skipped the backoff after a publish that the broker did not accept in the same way.

Change: only the delay before the first attempt is skipped. The log names a requeued message or dead letter that the broker did not accept, and how many messages were not settled when the shutdown had to be complete.

--- a/crates/loomflow-amqp/src/consumer/outbound.rs
+++ b/crates/loomflow-amqp/src/consumer/outbound.rs
@@ -134,7 +134,7 @@
             let Some(delivery) = self.deliveries.get_mut(&id) else { return };
             let Phase::Settling(settling) = &mut delivery.phase else { return };
             if self.drain_deadline.is_some() {
-                settling.skip_backoff(now);
+                settling.skip_delay(now);
             }
             let Some(action) = settling.next_action(now) else {
                 if let Some(at) = settling.next_deadline() {
@@ -251,6 +251,9 @@
             Republish::DeadLetter(_) => &mut self.counts.dead_lettered,
         };
         *count += u64::from(is_confirmed);
+        if !is_confirmed {
+            self.log(&format!("the broker did not accept a requeued message or dead letter: {result}"));
+        }
         self.continue_settlement(id, now);
     }
 
--- a/crates/loomflow-amqp/src/publisher.rs
+++ b/crates/loomflow-amqp/src/publisher.rs
@@ -3,6 +3,7 @@
 //! confirmed it.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::fmt;
 
 use amq_protocol::protocol::basic::AMQPProperties;
 
@@ -40,6 +41,17 @@
     Unknown,
 }
 
+impl fmt::Display for PublishResult {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            PublishResult::Confirmed => "confirmed",
+            PublishResult::Unroutable => "no route",
+            PublishResult::Nacked => "rejected",
+            PublishResult::Unknown => "no confirm",
+        })
+    }
+}
+
 /// Queue and unconfirmed messages of the publishing channel.
 #[derive(Debug, Default)]
 pub struct Publisher {
--- a/crates/loomflow-amqp/src/settlement.rs
+++ b/crates/loomflow-amqp/src/settlement.rs
@@ -146,7 +146,15 @@
     Scheduled(Millis),
     /// Published and not yet confirmed.
     Published,
-    Done,
+    Confirmed,
+    /// Not needed or given up.
+    Dropped,
+}
+
+impl PublishState {
+    fn is_done(self) -> bool {
+        matches!(self, PublishState::Confirmed | PublishState::Dropped)
+    }
 }
 
 /// Messages to publish for an outcome, and the method that settles the delivery.
@@ -250,7 +258,8 @@
     republish_state: PublishState,
     settlement: Settlement,
     is_settled: bool,
-    is_reply_confirmed: bool,
+    /// Whether the message was republished at least once.
+    was_republished: bool,
     /// Backoff before the next attempt to publish.
     backoff: ExponentialBackoff,
     reply_attempts: u32,
@@ -274,7 +283,7 @@
             None => (None, settlement),
         };
         let schedule =
-            |is_needed: bool, at| if is_needed { PublishState::Scheduled(at) } else { PublishState::Done };
+            |is_needed: bool, at| if is_needed { PublishState::Scheduled(at) } else { PublishState::Dropped };
         PendingSettlement {
             reply_state: schedule(reply.is_some(), now),
             republish_state: schedule(republish.is_some(), now + delay),
@@ -282,7 +291,7 @@
             republish,
             settlement,
             is_settled: false,
-            is_reply_confirmed: false,
+            was_republished: false,
             backoff: ExponentialBackoff::new(MIN_PUBLISH_BACKOFF_MS, MAX_PUBLISH_BACKOFF_MS),
             reply_attempts: 0,
             context,
@@ -310,6 +319,7 @@
             && now >= at
         {
             self.republish_state = PublishState::Published;
+            self.was_republished = true;
             return Some(SettlementAction::Republish(republish));
         }
         if self.is_everything_published() && !self.is_settled {
@@ -320,7 +330,7 @@
     }
 
     fn is_everything_published(&self) -> bool {
-        self.reply_state == PublishState::Done && self.republish_state == PublishState::Done
+        self.reply_state.is_done() && self.republish_state.is_done()
     }
 
     /// When the next scheduled publish is due; `None` if there is none.
@@ -337,9 +347,9 @@
         if !self.is_final {
             return RemainingSteps::ALL;
         }
-        let reply = self.reply.is_some() && !self.is_reply_confirmed;
+        let reply = self.reply.is_some() && self.reply_state != PublishState::Confirmed;
         let dead_letter = match (self.republish, self.settlement) {
-            (Some(Republish::DeadLetter(_)), _) => self.republish_state != PublishState::Done,
+            (Some(Republish::DeadLetter(_)), _) => self.republish_state != PublishState::Confirmed,
             // Whether the broker receives the reject is never known.
             (_, Settlement::Reject(_)) => true,
             // Only the reply has the outcome.
@@ -352,12 +362,15 @@
     /// reply is pending.
     pub fn remaining_after_reply(&self) -> Option<RemainingSteps> {
         let is_pending = self.reply_state == PublishState::Published;
-        is_pending.then(|| PendingSettlement { is_reply_confirmed: true, ..self.clone() }.remaining_steps())
+        is_pending.then(|| {
+            PendingSettlement { reply_state: PublishState::Confirmed, ..self.clone() }.remaining_steps()
+        })
     }
 
-    /// Republishes the message without further delay, because the server is shutting down.
-    pub fn skip_backoff(&mut self, now: Millis) {
-        if let PublishState::Scheduled(at) = &mut self.republish_state {
+    /// Republishes a rejected message without further delay, because the server is shutting down. The backoff after a
+    /// publish that the broker did not accept stays.
+    pub fn skip_delay(&mut self, now: Millis) {
+        if let (PublishState::Scheduled(at), false) = (&mut self.republish_state, self.was_republished) {
             *at = at.min(now);
         }
     }
@@ -367,9 +380,9 @@
         if self.reply_state != PublishState::Published {
             return;
         }
-        self.reply_state = PublishState::Done;
+        self.reply_state = PublishState::Dropped;
         match result {
-            PublishResult::Confirmed => self.is_reply_confirmed = true,
+            PublishResult::Confirmed => self.reply_state = PublishState::Confirmed,
             PublishResult::Unroutable => self.reply_given_up(FailureReason::REPLY_UNROUTABLE, now),
             PublishResult::Nacked | PublishResult::Unknown if self.reply_attempts < MAX_REPLY_ATTEMPTS => {
                 self.reply_state = PublishState::Scheduled(now + self.backoff.advance());
@@ -403,9 +416,9 @@
         if self.republish_state != PublishState::Published {
             return;
         }
-        self.republish_state = PublishState::Done;
+        self.republish_state = PublishState::Dropped;
         match (result, self.republish) {
-            (PublishResult::Confirmed, _) => {}
+            (PublishResult::Confirmed, _) => self.republish_state = PublishState::Confirmed,
             (PublishResult::Unroutable, Some(Republish::Requeue { .. })) => {
                 // The queue cannot be reached by its name, so the broker has to requeue the message itself.
                 self.settlement = Settlement::Requeue;
--- a/crates/loomflow-amqp/src/settlement/tests.rs
+++ b/crates/loomflow-amqp/src/settlement/tests.rs
@@ -112,12 +112,16 @@
         Some(SettlementAction::Republish(Republish::Requeue { retry_count: 1 }))
     );
     let mut draining = PendingSettlement::new(&rejected(300.0), context(), 0.0);
-    draining.skip_backoff(10.0);
+    draining.skip_delay(10.0);
     draining.next_action(10.0);
     assert_eq!(
         draining.next_action(10.0),
         Some(SettlementAction::Republish(Republish::Requeue { retry_count: 1 }))
     );
+    // A draining server does not skip the backoff after a publish that the broker rejected.
+    draining.republished(PublishResult::Nacked, 10.0);
+    draining.skip_delay(10.0);
+    assert_eq!(draining.republish_state, PublishState::Scheduled(10.0 + MIN_PUBLISH_BACKOFF_MS));
     // A rejection without a delay still backs off.
     let backoffs = [0, 1, 30].map(|retry_count| {
         let context = SettlementContext { retry_count, max_retries: 99, ..context() };
--- a/crates/loomflow-amqp/tests/settlement.rs
+++ b/crates/loomflow-amqp/tests/settlement.rs
@@ -223,3 +223,17 @@
         assert_eq!(results(&mut simulation), (served(), vec![]));
     }
 }
+
+/// Guards against a draining server that publishes to a broker that rejects as often as the broker answers.
+#[test]
+fn a_draining_server_backs_off_from_a_broker_that_rejects() {
+    let mut simulation = simulation(DeadLetters::Configured, |_| {});
+    submit(&mut simulation, "a", "");
+    simulation.broker.faults.nack = 1_000;
+    simulation.drain(0);
+    simulation.elapse(900.0);
+    let publishes = 1_000 - simulation.broker.faults.nack;
+    // Backoffs of 200, 400 and 800 ms are between the attempts.
+    assert!((2..=3).contains(&publishes), "{publishes} publishes in 0.9 s");
+    assert_eq!(simulation.broker.unacked("jobs"), 1, "the message is not settled");
+}
--- a/crates/loomflow-server/src/front/amqp/mod.rs
+++ b/crates/loomflow-server/src/front/amqp/mod.rs
@@ -307,6 +307,11 @@
         self.forward_requests(requests);
     }
 
+    /// Number of delivered messages that are not settled.
+    pub fn unsettled(&self) -> usize {
+        self.consumer.unsettled()
+    }
+
     /// Whether every message is settled, or the time for that is over.
     pub fn is_drained(&self, now: Millis) -> bool {
         self.consumer.is_drained(now)
--- a/crates/loomflow-server/src/front/mod.rs
+++ b/crates/loomflow-server/src/front/mod.rs
@@ -142,6 +142,11 @@
         }
     }
 
+    /// Number of messages of brokers that are not settled.
+    pub fn unsettled_messages(&self) -> usize {
+        self.amqp.as_ref().map_or(0, AmqpFront::unsettled)
+    }
+
     /// Whether all responses have been sent and read, or the time for that is over.
     pub fn is_drained(&self, now: Millis) -> bool {
         self.resp.is_drained(now) && self.amqp.as_ref().is_none_or(|amqp| amqp.is_drained(now))
--- a/crates/loomflow-server/src/owner/draining.rs
+++ b/crates/loomflow-server/src/owner/draining.rs
@@ -12,6 +12,14 @@
         self.shutdown.is_complete(unanswered, || self.fronts.is_drained(self.now.ms))
     }
 
+    /// Logs how many messages could not be settled until the shutdown had to be complete. The broker delivers them again.
+    pub(super) fn log_unsettled_messages(&self) {
+        let unsettled = self.fronts.unsettled_messages();
+        if unsettled > 0 {
+            log!(part = "amqp", unsettled, "messages were not settled before the shutdown");
+        }
+    }
+
     /// Starts the grace period after a SIGTERM. Requests are served as usual until it ends, because gateways are notified of
     /// the shutdown with a delay.
     pub(super) fn begin_shutdown(&mut self) {
--- a/crates/loomflow-server/src/owner/event_loop.rs
+++ b/crates/loomflow-server/src/owner/event_loop.rs
@@ -33,6 +33,7 @@
         let events = next_batch(&owner, &mailbox);
         owner.process_batch(events);
     }
+    owner.log_unsettled_messages();
     owner.fleet.report_drained();
     Ok(())
 }
