--- a/crates/loomflow-server/tests/amqp_settlement.rs
+++ b/crates/loomflow-server/tests/amqp_settlement.rs
@@ -4,7 +4,8 @@
 
 use common::amqp::*;
 use loomflow_test_servers::autonomous_engine::result_of;
-use loomflow_test_servers::broker::message;
+use loomflow_test_servers::broker::{Broker, message};
+use loomflow_test_servers::*;
 
 #[test]
 fn a_lost_ack_does_not_repeat_a_confirmed_reply() {
@@ -123,3 +124,71 @@
     let dead = &broker.wait_for_messages("queue's own", 1)[0];
     assert_eq!((dead.body.as_slice(), dead.header_text("x-loomflow-reason")), (&b"b"[..], None));
 }
+
+/// A broker whose queue `jobs` has dead-lettering of its own, and a server without a destination of dead letters.
+fn start_without_destination() -> (Broker, AutonomousEngine, ServerFixture) {
+    let (broker, worker) = start_peers(4);
+    broker.with_state(|state| state.declare("jobs", Some(("", "dead"))));
+    let text = options(&[&broker], "").replace("  dead_letter: {routing_key: dead}\n", "");
+    let fixture = serve(&text, &worker);
+    (broker, worker, fixture)
+}
+
+/// Guards against a failed message that is acknowledged because its reject was lost with the connection.
+#[test]
+fn a_failed_message_is_kept_by_its_queue_after_a_lost_reject() {
+    let (broker, worker, fixture) = start_without_destination();
+    broker.faults(|faults| faults.lose_settlements = 1);
+    worker.fail_next(1);
+    broker.publish(job(1));
+    assert_eq!(next_dead_letter(&broker).body, b"j1");
+    broker.wait_until_empty("jobs");
+    assert_eq!(broker.take("replies").len(), 1, "the confirmed reply is not repeated");
+    assert_eq!(broker.with_state(|state| state.connections().len()), 1);
+    assert_eq!(worker.run_count(), 1);
+    fixture.wait_for_log("rejecting a message for the dead letters of its queue: may-have-run");
+}
+
+/// Guards against a served message that is acknowledged although its reply reached no queue.
+#[test]
+fn a_message_whose_reply_queue_is_gone_is_dead_lettered() {
+    for (broker, worker, fixture) in [start_serving(), start_without_destination()] {
+        broker.publish(message("jobs", "a", b"a").reply_to("gone", "a"));
+        assert_eq!(next_dead_letter(&broker).body, b"a");
+        broker.wait_until_empty("jobs");
+        assert_eq!(worker.run_count(), 1);
+        fixture.wait_for_log("reply-unroutable");
+    }
+}
+
+/// Guards against a message that is settled in a drain although the broker accepts neither its reply nor a dead letter.
+#[test]
+fn draining_leaves_a_message_without_a_reply_to_the_broker() {
+    for (broker, worker, mut fixture) in [start_serving(), start_without_destination()] {
+        broker.faults(|faults| faults.nack = usize::MAX);
+        broker.publish(job(1));
+        worker.wait_for_runs(1);
+        fixture.terminate();
+        assert_eq!(fixture.exit_code(), Some(0));
+        assert_eq!(broker.wait_for_messages("jobs", 1)[0].body, b"j1");
+        assert!(broker.take("dead").is_empty() && broker.take("replies").is_empty());
+        fixture.wait_for_log("messages were not settled before the shutdown");
+    }
+}
+
+/// Guards against a message that is lost because its settlement is lost while the server drains.
+#[test]
+fn draining_leaves_a_message_to_the_broker_whose_settlement_is_lost() {
+    let (broker, worker, mut fixture) = start_without_destination();
+    worker.set_held(true);
+    broker.publish(job(1));
+    worker.wait_for_runs(1);
+    broker.faults(|faults| faults.lose_settlements = 1);
+    worker.fail_next(1);
+    fixture.terminate();
+    fixture.wait_for_log("shutdown requested");
+    worker.set_held(false);
+    assert_eq!(fixture.exit_code(), Some(0));
+    assert_eq!(broker.wait_for_messages("jobs", 1)[0].body, b"j1");
+    assert_eq!(worker.run_count(), 1);
+}
