Split the settlement's plan, the shutdown of a consumer and the decisions on duplicates into modules

What an outcome requires is in settlement/plan.rs, the graceful shutdown in consumer/shutdown.rs, the inputs and results of the decision on a duplicate in idempotency/decision.rs.

--- a/crates/loomflow-amqp/src/consumer/mod.rs
+++ b/crates/loomflow-amqp/src/consumer/mod.rs
@@ -4,12 +4,14 @@
 //! - `inbound` handles deliveries and submits messages.
 //! - `outbound` handles responses, publishes and settlements.
 //! - `flow_control` adjusts windows and consumers and writes publishes.
+//! - `shutdown` drains the consumer.
 //! - `delivery` defines the state of one delivery.
 
 mod delivery;
 mod flow_control;
 mod inbound;
 mod outbound;
+mod shutdown;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -27,7 +29,7 @@
 use crate::publisher::{PublishId, Publisher};
 use crate::remaining_steps::RemainingSteps;
 use crate::settings::Settings;
-use crate::settlement::{MessageOutcome, Republish};
+use crate::settlement::Republish;
 use crate::window::Window;
 use delivery::{Delivery, Phase};
 
@@ -380,7 +382,7 @@
         }
     }
 
-    // ---- Deadlines and shutdown ----
+    // ---- Deadlines ----
 
     /// Handles deadlines that have passed and the effects of frames and responses since the last call.
     ///
@@ -411,46 +413,10 @@
         self.deadlines.first().map_or(f64::INFINITY, |(at, _)| *at as f64 / 1000.0)
     }
 
-    /// Begins a graceful shutdown that must be complete by `deadline`: nothing more is consumed, and messages that wait
-    /// for the end of a delay are requeued at once.
-    pub fn begin_drain(&mut self, deadline: Millis, now: Millis) {
-        if self.drain_deadline.is_some() {
-            return;
-        }
-        self.drain_deadline = Some(deadline);
-        // Without a completed handshake, there is nothing to settle.
-        if let Some(connection) = self.connection.as_mut().filter(|connection| !connection.is_ready()) {
-            connection.close();
-        }
-        let is_settling = |delivery: &Delivery| matches!(delivery.phase, Phase::Settling(_));
-        for id in self.deliveries_where(is_settling) {
-            self.advance(id, now);
-        }
-        self.flush(now);
-    }
-
-    /// Ends the grace period of the drain: messages that have not been started are returned to their queues.
-    pub fn stop_intake(&mut self, now: Millis) {
-        self.is_intake_stopped = true;
-        let is_not_started =
-            |delivery: &Delivery| delivery.is_submitted() && delivery.run_started_at.is_none();
-        for id in self.deliveries_where(is_not_started) {
-            self.requests.push(ConsumerRequest::Cancel(id));
-            self.begin_settlement_with_waiters(id, &MessageOutcome::Returned, now);
-        }
-        self.flush(now);
-    }
-
     fn deliveries_where(&self, condition: impl Fn(&Delivery) -> bool) -> Vec<DeliveryId> {
         self.deliveries.iter().filter(|(_, delivery)| condition(delivery)).map(|(id, _)| *id).collect()
     }
 
-    /// Whether the drain is complete or its deadline has passed.
-    pub fn is_drained(&self, now: Millis) -> bool {
-        let is_closed = || self.connection.as_ref().is_none_or(BrokerConnection::is_closed);
-        self.drain_deadline.is_some_and(|deadline| now >= deadline || is_closed())
-    }
-
     // ---- Statistics ----
 
     /// Number of delivered messages that are not settled.
--- a/crates/loomflow-amqp/src/idempotency.rs
+++ b/crates/loomflow-amqp/src/idempotency.rs
@@ -11,9 +11,11 @@
 //! its message ended here, with or without a run. Unfinished keys do not expire, and republishing a message or replying
 //! to its caller does not extend the time.
 
+mod decision;
+
 use std::collections::{BTreeMap, VecDeque};
-use std::sync::Arc;
 
+pub use decision::{DuplicateDecision, MessageIdentity, MessageInfo, RunResult};
 pub use loomflow_idempotency::IdempotencyKey;
 use loomflow_idempotency::{BodyHasher, ResultBudget, ResultSequence};
 
@@ -27,19 +29,6 @@
 /// Publish id of a copy of a message that loomflow republished; the original message of the sender has none.
 pub type CopyId = u64;
 
-/// How the run of a key ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum RunResult {
-    /// The message was served with this reply.
-    Served(Arc<[u8]>),
-    /// The message was served, and its reply is no longer retained.
-    ReplyDiscarded,
-    /// The run failed, possibly after it took effect.
-    Failed,
-    /// The message may have run in another process.
-    Unknown,
-}
-
 #[derive(Clone, Debug, PartialEq)]
 enum KeyState {
     /// Submitted and not started. Duplicates wait for the first delivery.
@@ -59,58 +48,6 @@
     },
 }
 
-/// Distinguishes the messages of one key.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct MessageIdentity {
-    /// Copy id of a republished message; `None` for an original.
-    pub copy: Option<CopyId>,
-    /// Distinguishes callers that use the same key.
-    pub caller_digest: u64,
-}
-
-/// Properties of a message that [`IdempotencyRecords::decide`] uses beside its key.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct MessageInfo {
-    /// Whether the message has an external effect and therefore must not run twice.
-    pub has_effect: bool,
-    /// Whether the broker marked the message as redelivered.
-    pub redelivered: bool,
-    /// Which of the messages of its key it is.
-    pub identity: MessageIdentity,
-    /// Digest of the body ([`IdempotencyRecords::digest`]).
-    pub body_digest: u64,
-}
-
-/// How a message is handled with regard to duplicates.
-#[derive(Clone, Debug, PartialEq)]
-pub enum DuplicateDecision {
-    /// Run the message.
-    Run,
-    /// Wait until the first delivery of the key ends, and reply with the same result.
-    AwaitOriginal,
-    /// The key has run: reply from its record.
-    ReplyFromRecord {
-        /// Result of the run.
-        result: RunResult,
-        /// What earlier deliveries of the message did not complete.
-        remaining: RemainingSteps,
-    },
-    /// An earlier delivery of the message failed before its run: fail in the same way.
-    RepeatFailure {
-        /// Failure of the earlier delivery.
-        failure: FailureBeforeRun,
-        /// What earlier deliveries of the message did not complete.
-        remaining: RemainingSteps,
-    },
-    /// A copy of the message was published and confirmed: only settle the message.
-    Superseded,
-    /// The message may have run in another process: do not run it.
-    MayHaveRun,
-    /// The key is in use by a message with a different body: neither run the message nor reply with the result of the
-    /// other.
-    BodyMismatch,
-}
-
 /// Knowledge about runs that this process did not perform, such as a store that persists across restarts.
 pub trait IdempotencyStore {
     /// Whether a run of this key may have started; `None` if unknown.
@@ -173,14 +110,6 @@
     body_hasher: BodyHasher,
 }
 
-impl MessageInfo {
-    /// Whether the message may have been delivered to this server before, so that its caller may already have the
-    /// reply. A new message with the same key is a new request, which gets a reply again.
-    fn may_be_known(&self) -> bool {
-        self.redelivered || self.identity.copy.is_some()
-    }
-}
-
 /// Result of looking up the key of a message.
 enum Lookup {
     /// The record determines the decision.
--- a/crates/loomflow-amqp/src/settlement/tests.rs
+++ b/crates/loomflow-amqp/src/settlement/tests.rs
@@ -1,3 +1,4 @@
+use super::plan::{MAX_RETRY_AFTER_MS, MIN_RETRY_AFTER_MS};
 use super::*;
 use proptest::prelude::*;
 
