--- a/crates/loomflow-test-servers/src/bin/test-servers.rs
+++ b/crates/loomflow-test-servers/src/bin/test-servers.rs
@@ -20,6 +20,7 @@
 cut                 close every broker connection without notice
 close               close the channels that consume from jobs, with reply code 541
 nack N              reject the next N publishes with basic.nack
+lose N              break the connection at the next N methods that settle a message, unhandled
 block, unblock      announce that publishing is blocked or unblocked
 runs                print the number of runs and the number of bodies that ran more than once
 quit                end the program
@@ -107,6 +108,7 @@
             "cut" => broker.disconnect_all(),
             "close" => broker.with_state(|state| state.close_channels("jobs", 541)),
             "nack" => broker.faults(|faults| faults.nack = number(1)),
+            "lose" => broker.faults(|faults| faults.lose_settlements = number(1)),
             "block" => broker.with_state(|state| state.block(true)),
             "unblock" => broker.with_state(|state| state.block(false)),
             "runs" => {
