Keep the copy of a message on record when its dead letter is rejected

Callers saw: an effect twice. A rejected message is requeued, the connection breaks before the copy is confirmed, the message comes again and is dead-lettered as `run-unknown`; the broker rejects the dead letter, the connection breaks again, and the message runs although its copy has run on another server.

Cause: the record noted every publish of a message as the copy that may run, a dead letter too. The dead letter replaced the real copy, and its rejection left "never started".

The new test of tests/settlement.rs fails on the former text (the message is submitted again).

Change: only a requeued copy is noted. A redelivery that may have run elsewhere does what is left for its caller. The model also checks that no caller is told that its message does not run and then served.

--- a/crates/loomflow-amqp/src/consumer/delivery.rs
+++ b/crates/loomflow-amqp/src/consumer/delivery.rs
@@ -48,12 +48,6 @@
         matches!(self.phase, Phase::Submitted)
     }
 
-    /// Whether a copy of the message that is republished may run. A message that failed before its run only leaves a dead
-    /// letter.
-    pub(super) fn may_run_as_copy(&self) -> bool {
-        !matches!(&self.phase, Phase::Settling(settling) if settling.failure_before_run().is_some())
-    }
-
     /// Copy id of a republished message; `None` for an original.
     pub(super) fn copy(&self) -> Option<CopyId> {
         message::publish_id(&self.properties)
--- a/crates/loomflow-amqp/src/consumer/inbound.rs
+++ b/crates/loomflow-amqp/src/consumer/inbound.rs
@@ -178,7 +178,10 @@
                 delivery.remaining = remaining;
                 self.begin_settlement(id, &MessageOutcome::Failed(failure), now);
             }
-            DuplicateDecision::MayHaveRun => self.begin_settlement(id, &MessageOutcome::MayHaveRun, now),
+            DuplicateDecision::MayHaveRun { remaining } => {
+                delivery.remaining = remaining;
+                self.begin_settlement(id, &MessageOutcome::MayHaveRun, now);
+            }
             DuplicateDecision::BodyMismatch => {
                 // The record belongs to the other message, so the outcome of this one must not be recorded.
                 delivery.key = None;
--- a/crates/loomflow-amqp/src/consumer/outbound.rs
+++ b/crates/loomflow-amqp/src/consumer/outbound.rs
@@ -169,7 +169,8 @@
         let publish_id = self.register_publish(PublishPurpose::Republish(id, to));
         let Some(delivery) = self.deliveries.get(&id) else { return };
         let queue = &self.settings.queues[delivery.queue].name;
-        if let Some(key) = delivery.key.as_ref().filter(|_| delivery.may_run_as_copy()) {
+        // A dead letter is no copy that may run.
+        if let (Some(key), Republish::Requeue { .. }) = (&delivery.key, to) {
             self.records.republishing(key, delivery.identity(), publish_id);
         }
         let (properties, body) = (&delivery.properties, &delivery.body);
@@ -242,8 +243,9 @@
         let Some(delivery) = self.deliveries.get_mut(&id) else { return };
         let Phase::Settling(settling) = &mut delivery.phase else { return };
         settling.republished(result, now);
-        let is_known = result != PublishResult::Unknown;
-        if let Some(key) = delivery.key.as_ref().filter(|_| is_known && delivery.may_run_as_copy()) {
+        if let (Some(key), Republish::Requeue { .. }) = (&delivery.key, to)
+            && result != PublishResult::Unknown
+        {
             self.records.republished(key, publish_id, is_confirmed);
         }
         let count = match to {
--- a/crates/loomflow-amqp/src/idempotency.rs
+++ b/crates/loomflow-amqp/src/idempotency.rs
@@ -39,8 +39,8 @@
     NotStarted(Option<CopyId>),
     /// This message was not started and has a final failure that its caller may have been told.
     FailedBeforeRun(MessageIdentity, FailureBeforeRun),
-    /// The message `from` was not started here and was republished, to its queue or as a dead letter. Until the broker
-    /// confirms the copy `to`, a second message may or may not exist.
+    /// The message `from` was not started here and was republished to its queue. Until the broker confirms the copy `to`,
+    /// a second message may or may not exist.
     Republished {
         from: MessageIdentity,
         to: CopyId,
@@ -176,7 +176,11 @@
         self.expire(now);
         let Some(key) = key else {
             let may_have_run = message.has_effect && message.redelivered;
-            return if may_have_run { DuplicateDecision::MayHaveRun } else { DuplicateDecision::Run };
+            return if may_have_run {
+                DuplicateDecision::MayHaveRun { remaining: RemainingSteps::ALL }
+            } else {
+                DuplicateDecision::Run
+            };
         };
         let may_have_run_elsewhere = match self.look_up(id, key, &message) {
             Lookup::Decided(decision) => return decision,
@@ -189,7 +193,7 @@
                 self.start_record(key, message.body_digest);
                 self.finish(key, KeyState::Finished(RunResult::Unknown), now);
             }
-            return DuplicateDecision::MayHaveRun;
+            return DuplicateDecision::MayHaveRun { remaining: self.remaining_steps(key, &message) };
         }
         self.discard_reply(key);
         self.start_record(key, message.body_digest);
@@ -237,6 +241,13 @@
         Lookup::Undecided { may_have_run_elsewhere }
     }
 
+    /// What earlier deliveries of a message did not complete.
+    fn remaining_steps(&self, key: &IdempotencyKey, message: &MessageInfo) -> RemainingSteps {
+        let record = self.records.get(key).filter(|_| message.may_be_known());
+        let completed = record.and_then(|record| record.caller_steps.get(message.identity.caller_digest));
+        completed.unwrap_or(RemainingSteps::ALL)
+    }
+
     /// Looks up a key without a record among the retired keys and in the store.
     fn look_up_retired(&self, key: &IdempotencyKey, message: &MessageInfo) -> Lookup {
         if let Some(retired) = self.retired_keys.get(key).filter(|_| message.has_effect) {
--- a/crates/loomflow-amqp/src/idempotency/decision.rs
+++ b/crates/loomflow-amqp/src/idempotency/decision.rs
@@ -65,7 +65,10 @@
     /// A copy of the message was published and confirmed: only settle the message.
     Superseded,
     /// The message may have run in another process: do not run it.
-    MayHaveRun,
+    MayHaveRun {
+        /// What earlier deliveries of the message did not complete.
+        remaining: RemainingSteps,
+    },
     /// The key is in use by a message with a different body: neither run the message nor reply with the result of the
     /// other.
     BodyMismatch,
--- a/crates/loomflow-amqp/src/idempotency/tests.rs
+++ b/crates/loomflow-amqp/src/idempotency/tests.rs
@@ -3,6 +3,8 @@
 use crate::remaining_steps::MAX_CALLERS;
 use proptest::prelude::*;
 
+const MAY_HAVE_RUN: DuplicateDecision = DuplicateDecision::MayHaveRun { remaining: RemainingSteps::ALL };
+
 fn key(text: &str) -> IdempotencyKey {
     IdempotencyKey { class: 0, tenant: 0, text: text.into() }
 }
@@ -60,8 +62,8 @@
 fn an_unknown_redelivery_runs_only_without_an_effect() {
     let mut records = records_without_history();
     let a = key("a");
-    assert_eq!(records.decide(1, Some(&a), message_info(true, true, 0), 0.0), DuplicateDecision::MayHaveRun);
-    assert_eq!(records.decide(2, None, message_info(true, true, 0), 0.0), DuplicateDecision::MayHaveRun);
+    assert_eq!(records.decide(1, Some(&a), message_info(true, true, 0), 0.0), MAY_HAVE_RUN);
+    assert_eq!(records.decide(2, None, message_info(true, true, 0), 0.0), MAY_HAVE_RUN);
     assert_eq!(records.decide(3, None, message_info(true, false, 0), 0.0), DuplicateDecision::Run);
     assert_eq!(records.decide(4, None, message_info(false, true, 0), 0.0), DuplicateDecision::Run);
     assert_eq!(records.decide(5, Some(&key("b")), message_info(false, true, 0), 0.0), DuplicateDecision::Run);
@@ -80,10 +82,7 @@
         }
     }
     let mut records = IdempotencyRecords::new(1.0, capacity(10, 10), Box::new(Store));
-    assert_eq!(
-        records.decide(1, Some(&key("started")), message_info(true, true, 0), 0.0),
-        DuplicateDecision::MayHaveRun
-    );
+    assert_eq!(records.decide(1, Some(&key("started")), message_info(true, true, 0), 0.0), MAY_HAVE_RUN);
     assert_eq!(
         records.decide(2, Some(&key("not started")), message_info(true, true, 0), 0.0),
         DuplicateDecision::Run
@@ -186,7 +185,7 @@
     );
     assert_eq!(
         decide(MessageInfo { identity: MessageIdentity { copy: Some(5), ..ours }, ..redelivered }),
-        DuplicateDecision::MayHaveRun,
+        MAY_HAVE_RUN,
         "another copy may have run in another process"
     );
     let mut records = failed_records();
@@ -196,7 +195,7 @@
     let mut records = failed_records();
     records.republishing(&a, ours, 77);
     records.failed_before_run(&a, ours, failure);
-    assert_eq!(records.decide(2, Some(&a), redelivered, 1.0), DuplicateDecision::MayHaveRun);
+    assert_eq!(records.decide(2, Some(&a), redelivered, 1.0), MAY_HAVE_RUN);
 }
 
 #[test]
@@ -220,16 +219,13 @@
         republished(true).decide(2, Some(&key("a")), as_copy(None, true), 1.0),
         DuplicateDecision::Superseded
     );
-    assert_eq!(
-        republished(false).decide(2, Some(&key("a")), as_copy(None, true), 1.0),
-        DuplicateDecision::MayHaveRun
-    );
+    assert_eq!(republished(false).decide(2, Some(&key("a")), as_copy(None, true), 1.0), MAY_HAVE_RUN);
     // The copy runs, unless it is redelivered and so may have run in another process.
     for is_confirmed in [true, false] {
         let decide = |redelivered| {
             republished(is_confirmed).decide(2, Some(&key("a")), as_copy(Some(77), redelivered), 1.0)
         };
-        assert_eq!((decide(false), decide(true)), (DuplicateDecision::Run, DuplicateDecision::MayHaveRun));
+        assert_eq!((decide(false), decide(true)), (DuplicateDecision::Run, MAY_HAVE_RUN));
     }
     // A new message of the sender with the same key is neither the original nor the copy, and runs.
     assert_eq!(
@@ -240,10 +236,7 @@
     let mut records = records_without_history();
     records.decide(1, Some(&key("a")), as_copy(None, false), 0.0);
     records.not_started(&key("a"), None, 0.0);
-    assert_eq!(
-        records.decide(2, Some(&key("a")), as_copy(Some(5), true), 1.0),
-        DuplicateDecision::MayHaveRun
-    );
+    assert_eq!(records.decide(2, Some(&key("a")), as_copy(Some(5), true), 1.0), MAY_HAVE_RUN);
     // If the broker did not accept the copy, the original runs when it is redelivered.
     let mut records = republished(false);
     records.republished(&key("a"), 77, false);
@@ -261,7 +254,7 @@
     records.republished(&a, 77, true);
     assert_eq!(
         records.decide(2, Some(&a), message_info(true, true, 2), 1.0),
-        DuplicateDecision::MayHaveRun,
+        MAY_HAVE_RUN,
         "the copy of the other message may have run"
     );
     assert_eq!(records.decide(3, Some(&a), message_info(true, true, 1), 1.0), DuplicateDecision::Superseded);
@@ -333,7 +326,7 @@
     assert_eq!(decide(redelivered), discarded(RemainingSteps::ALL), "another caller has no reply yet");
     assert_eq!(
         records.decide(2, Some(&key("not started")), redelivered, 1.0),
-        DuplicateDecision::MayHaveRun,
+        MAY_HAVE_RUN,
         "it may have run in another process meanwhile"
     );
     assert_eq!(records.decide(2, Some(&key("open")), redelivered, 1.0), DuplicateDecision::AwaitOriginal);
--- a/crates/loomflow-amqp/tests/common/simulation.rs
+++ b/crates/loomflow-amqp/tests/common/simulation.rs
@@ -7,7 +7,7 @@
 use loomflow_amqp::idempotency::NoHistory;
 use loomflow_amqp::*;
 use loomflow_test_servers::broker::state::{Faults, State};
-use loomflow_test_servers::broker::{Settled, message};
+use loomflow_test_servers::broker::{Message, Settled, message};
 
 use crate::common::{decode, settings};
 
@@ -283,6 +283,10 @@
                 "{id} of caller {caller} was neither served nor dead-lettered"
             );
         }
+        // A server that restarts, or another one, does not know what its caller was told.
+        if self.servers.len() == 1 && self.settings.classes[0].has_effect {
+            check_final_answers(&replies);
+        }
         self.check_settlements();
     }
 
@@ -296,3 +300,12 @@
         );
     }
 }
+
+/// Checks that no caller was told that its message does not run and then served.
+fn check_final_answers(replies: &[Message]) {
+    let not_run = replies.iter().filter(|reply| reply.header_text("x-loomflow-ran").as_deref() == Some("no"));
+    for caller in not_run.map(Message::correlation) {
+        let is_served = replies.iter().any(|reply| reply.correlation() == caller && reply.kind() == "served");
+        assert!(!is_served, "caller {caller} was told that its message does not run, and was served");
+    }
+}
--- a/crates/loomflow-amqp/tests/settlement.rs
+++ b/crates/loomflow-amqp/tests/settlement.rs
@@ -237,3 +237,25 @@
     assert!((2..=3).contains(&publishes), "{publishes} publishes in 0.9 s");
     assert_eq!(simulation.broker.unacked("jobs"), 1, "the message is not settled");
 }
+
+/// Guards against an effect that runs twice because a dead letter that the broker rejected hid a copy of its message.
+#[test]
+fn a_rejected_dead_letter_does_not_hide_a_copy_that_may_run() {
+    let mut simulation = simulation(DeadLetters::Configured, |_| {});
+    submit(&mut simulation, "a", "");
+    simulation.broker.faults.unconfirmed = 1;
+    simulation.reject(0, 0.0);
+    simulation.elapse(200.0);
+    assert_eq!(simulation.broker.take("jobs").len(), 1, "the copy is delivered to another server");
+    simulation.disconnect(0);
+    simulation.broker.faults.nack = 1;
+    while simulation.broker.faults.nack > 0 {
+        simulation.elapse(10.0);
+    }
+    simulation.disconnect(0);
+    simulation.elapse(RECONNECT_MS);
+    assert!(simulation.servers[0].submitted.is_empty(), "the message would run a second time");
+    let dead = simulation.broker.take("dead");
+    let reasons: Vec<_> = dead.iter().map(|message| message.header_text("x-loomflow-reason")).collect();
+    assert_eq!(reasons, one_dead_letter(DeadLetters::Configured, "run-unknown"));
+}
