Record what the broker confirms after it closed the channel of a message

What callers and operators saw: the broker closes the channel of a consumer and confirms the publishes of its messages afterwards, on the same connection. A message whose run failed was dead-lettered twice. A message that was rejected under overload came again beside its requeued copy: its caller got `failed` with `run-unknown` and then `served`, and a dead letter was left of a message that was served.

Cause: the result of a publish belongs to a delivery, which is abandoned with its channel. Only a reply had a way to the record of its key afterwards; the confirm of a dead letter or of a requeued copy was dropped.

Change: when a delivery is abandoned, each of its pending publishes is tied to the record of its key: a reply or a dead letter with what is left once it is confirmed, a copy with its id. The redelivered message then does only what is left, or is superseded by its copy.

Evidence: `a_dead_letter_confirmed_after_its_channel_closed_is_not_repeated` had two dead letters before, `a_copy_confirmed_after_its_channel_closed_supersedes_its_message` the replies `failed` and `served` and a dead letter; both pass with the change.

--- a/crates/loomflow-amqp/src/consumer/inbound.rs
+++ b/crates/loomflow-amqp/src/consumer/inbound.rs
@@ -12,7 +12,7 @@
 use crate::idempotency::{DeliveryId, DuplicateDecision, IdempotencyKey, MessageInfo};
 use crate::message::{self, Classification};
 use crate::remaining_steps::RemainingSteps;
-use crate::settlement::MessageOutcome;
+use crate::settlement::{MessageOutcome, PendingSettlement, Republish};
 
 impl Consumer {
     /// Handles the close of the channel of a consumer: its deliveries can no longer be settled and are abandoned.
@@ -46,27 +46,33 @@
             }
             (Phase::AwaitingOriginal, Some(key)) => self.records.remove_waiter(&key, id),
             (Phase::Settling(settling), Some(key)) => {
-                if let Some(remaining) = settling.remaining_after_reply() {
-                    self.track_late_reply(id, key, &delivery.properties, remaining);
-                }
+                let caller_digest = message::caller_digest(&delivery.properties);
+                self.track_late_results(id, &key, caller_digest, &settling);
             }
             (Phase::AwaitingOriginal | Phase::Settling(_), _) => {}
         }
         Vec::new()
     }
 
-    /// Arranges that a confirm of the reply to an abandoned delivery is still recorded for its caller.
-    fn track_late_reply(
+    /// Arranges that the results of what was published for an abandoned delivery are still recorded.
+    fn track_late_results(
         &mut self,
         id: DeliveryId,
-        key: IdempotencyKey,
-        properties: &AMQPProperties,
-        remaining: RemainingSteps,
+        key: &IdempotencyKey,
+        caller_digest: u64,
+        settling: &PendingSettlement,
     ) {
-        let is_reply = |purpose: &&mut PublishPurpose| matches!(purpose, PublishPurpose::Reply(delivery) if *delivery == id);
-        if let Some(purpose) = self.pending_publishes.values_mut().find(is_reply) {
-            let caller_digest = message::caller_digest(properties);
-            *purpose = PublishPurpose::LateReply { key, caller_digest, remaining };
+        let late_step = |remaining| PublishPurpose::LateStep { key: key.clone(), caller_digest, remaining };
+        for purpose in self.pending_publishes.values_mut().filter(|purpose| purpose.is_for(id)) {
+            *purpose = match purpose {
+                PublishPurpose::Republish(_, Republish::Requeue { .. }) => {
+                    PublishPurpose::LateRequeue(key.clone())
+                }
+                PublishPurpose::Republish(_, Republish::DeadLetter(_)) => {
+                    late_step(settling.remaining_after_dead_letter())
+                }
+                _ => late_step(settling.remaining_after_reply()),
+            };
         }
     }
 
--- a/crates/loomflow-amqp/src/consumer/mod.rs
+++ b/crates/loomflow-amqp/src/consumer/mod.rs
@@ -93,12 +93,25 @@
 enum PublishPurpose {
     Reply(DeliveryId),
     Republish(DeliveryId, Republish),
-    /// Reply to a delivery that has been abandoned since. Once it is confirmed, only `remaining` is left for the caller.
-    LateReply {
+    /// Reply or dead letter of a delivery that has been abandoned since. Once it is confirmed, only `remaining` is left for
+    /// the caller.
+    LateStep {
         key: IdempotencyKey,
         caller_digest: u64,
         remaining: RemainingSteps,
     },
+    /// Requeued copy of a delivery that has been abandoned since.
+    LateRequeue(IdempotencyKey),
+}
+
+impl PublishPurpose {
+    /// Whether the publish belongs to this delivery, which has not been abandoned.
+    fn is_for(&self, id: DeliveryId) -> bool {
+        match self {
+            PublishPurpose::Reply(delivery) | PublishPurpose::Republish(delivery, _) => *delivery == id,
+            PublishPurpose::LateStep { .. } | PublishPurpose::LateRequeue(_) => false,
+        }
+    }
 }
 
 struct QueueState {
--- a/crates/loomflow-amqp/src/consumer/outbound.rs
+++ b/crates/loomflow-amqp/src/consumer/outbound.rs
@@ -213,16 +213,26 @@
                 Some(PublishPurpose::Republish(id, to)) => {
                     self.handle_republish_result(id, to, publish_id, result, now);
                 }
-                Some(PublishPurpose::LateReply { key, caller_digest, remaining })
+                Some(PublishPurpose::LateStep { key, caller_digest, remaining })
                     if result == PublishResult::Confirmed =>
                 {
                     self.records.steps_completed(&key, caller_digest, remaining);
                 }
-                Some(PublishPurpose::LateReply { .. }) => {}
+                Some(PublishPurpose::LateStep { .. }) => {}
+                Some(PublishPurpose::LateRequeue(key)) => {
+                    self.record_requeue_result(&key, publish_id, result);
+                }
             }
         }
     }
 
+    /// Records whether the broker accepted a requeued copy, unless that is unknown.
+    fn record_requeue_result(&mut self, key: &IdempotencyKey, copy: CopyId, result: PublishResult) {
+        if result != PublishResult::Unknown {
+            self.records.republished(key, copy, result == PublishResult::Confirmed);
+        }
+    }
+
     fn handle_reply_result(&mut self, id: DeliveryId, result: PublishResult, now: Millis) {
         let Some(delivery) = self.deliveries.get_mut(&id) else { return };
         let Phase::Settling(settling) = &mut delivery.phase else { return };
@@ -243,10 +253,8 @@
         let Some(delivery) = self.deliveries.get_mut(&id) else { return };
         let Phase::Settling(settling) = &mut delivery.phase else { return };
         settling.republished(result, now);
-        if let (Some(key), Republish::Requeue { .. }) = (&delivery.key, to)
-            && result != PublishResult::Unknown
-        {
-            self.records.republished(key, publish_id, is_confirmed);
+        if let (Some(key), Republish::Requeue { .. }) = (delivery.key.clone(), to) {
+            self.record_requeue_result(&key, publish_id, result);
         }
         let count = match to {
             Republish::Requeue { .. } => &mut self.counts.republished,
--- a/crates/loomflow-amqp/src/settlement.rs
+++ b/crates/loomflow-amqp/src/settlement.rs
@@ -204,13 +204,14 @@
         RemainingSteps { reply, dead_letter }
     }
 
-    /// [`PendingSettlement::remaining_steps`] once the reply that was published is confirmed; `None` if no confirm of a
-    /// reply is pending.
-    pub fn remaining_after_reply(&self) -> Option<RemainingSteps> {
-        let is_pending = self.reply_state == PublishState::Published;
-        is_pending.then(|| {
-            PendingSettlement { reply_state: PublishState::Confirmed, ..self.clone() }.remaining_steps()
-        })
+    /// [`PendingSettlement::remaining_steps`] once the reply that was published is confirmed.
+    pub fn remaining_after_reply(&self) -> RemainingSteps {
+        PendingSettlement { reply_state: PublishState::Confirmed, ..self.clone() }.remaining_steps()
+    }
+
+    /// [`PendingSettlement::remaining_steps`] once the dead letter that was published is confirmed.
+    pub fn remaining_after_dead_letter(&self) -> RemainingSteps {
+        PendingSettlement { republish_state: PublishState::Confirmed, ..self.clone() }.remaining_steps()
     }
 
     /// Republishes a rejected message without further delay, because the server is shutting down. The backoff after a
--- a/crates/loomflow-amqp/tests/settlement.rs
+++ b/crates/loomflow-amqp/tests/settlement.rs
@@ -259,3 +259,44 @@
     let reasons: Vec<_> = dead.iter().map(|message| message.header_text("x-loomflow-reason")).collect();
     assert_eq!(reasons, one_dead_letter(DeadLetters::Configured, "run-unknown"));
 }
+
+/// Closes the channels that consume `jobs` before the broker handles the publishes that the server has already written, so that
+/// it confirms them after their deliveries have been abandoned.
+fn close_channels_before_publishes(simulation: &mut Simulation) {
+    simulation.advance(0);
+    assert!(!simulation.servers[0].to_broker.is_empty(), "publishes are written");
+    simulation.broker.close_channels("jobs", 541);
+    simulation.elapse(RECONNECT_MS);
+}
+
+/// Guards against a second dead letter of a message whose channel closed before the first one was confirmed.
+#[test]
+fn a_dead_letter_confirmed_after_its_channel_closed_is_not_repeated() {
+    let mut simulation = simulation(DeadLetters::Configured, |_| {});
+    submit(&mut simulation, "a", "replies");
+    run(&mut simulation, false);
+    close_channels_before_publishes(&mut simulation);
+    let dead = one_dead_letter(DeadLetters::Configured, "may-have-run");
+    assert_eq!(results(&mut simulation), (failed(), dead));
+    assert_eq!(simulation.runs["a"], 1);
+}
+
+/// Guards against a caller that is told `run-unknown` and is then served, because the copy of its message was confirmed after
+/// the channel of the message closed.
+#[test]
+fn a_copy_confirmed_after_its_channel_closed_supersedes_its_message() {
+    for dead_letters in BOTH {
+        let mut simulation = simulation(dead_letters, |_| {});
+        submit(&mut simulation, "a", "replies");
+        simulation.reject(0, 0.0);
+        simulation.elapse(50.0);
+        assert_eq!(kinds(&simulation.broker.take("replies")), ["refused"]);
+        simulation.now += 100.0;
+        close_channels_before_publishes(&mut simulation);
+        assert_eq!(simulation.servers[0].submitted.len(), 1, "the copy is submitted");
+        run(&mut simulation, true);
+        simulation.elapse(1_000.0);
+        assert_eq!(results(&mut simulation), (served(), vec![]));
+        assert_eq!(simulation.runs["a"], 1);
+    }
+}
