Take each deadline of a settlement once a tick, so that the tick returns

What callers and operators would see: the server's thread loops without end, so that no request is answered, no message is settled and no drain ends.

Cause: deadlines are kept in microseconds, rounded down, and what is due is decided by the exact time. A tick in the microsecond of a deadline, but before it, took the deadline, did nothing, scheduled it again and took it again. The clock of the server is not rounded.

Change: a tick takes the deadlines that have passed once. What is scheduled again is due at the next tick.

`a_step_in_the_microsecond_of_a_deadline_returns` timed out before and passes.

--- a/crates/loomflow-amqp/src/consumer/mod.rs
+++ b/crates/loomflow-amqp/src/consumer/mod.rs
@@ -404,8 +404,7 @@
     /// Fails if the connection or its publisher confirms timed out. The connection must then be dropped.
     pub fn tick(&mut self, now: Millis) -> Result<(), Malformed> {
         self.records.expire(now);
-        while let Some((at, id)) = self.deadlines.first().copied().filter(|(at, _)| *at <= micros(now)) {
-            self.deadlines.remove(&(at, id));
+        for id in self.take_due(now) {
             self.advance(id, now);
         }
         if let Some(connection) = &mut self.connection {
@@ -418,6 +417,14 @@
         Ok(())
     }
 
+    /// Removes the deadlines that have passed; returns their deliveries. A delivery that is scheduled again within the same
+    /// microsecond is due at the next tick.
+    fn take_due(&mut self, now: Millis) -> Vec<DeliveryId> {
+        let later = self.deadlines.split_off(&(micros(now) + 1, DeliveryId::MIN));
+        let due = std::mem::replace(&mut self.deadlines, later);
+        due.into_iter().map(|(_, id)| id).collect()
+    }
+
     /// When [`Consumer::tick`] must be called next. It must also be called a few times a second.
     pub fn next_deadline(&self) -> Millis {
         if self.is_dirty {
--- a/crates/loomflow-amqp/tests/settlement.rs
+++ b/crates/loomflow-amqp/tests/settlement.rs
@@ -5,6 +5,10 @@
 #[path = "common/simulation.rs"]
 mod simulation;
 
+use std::sync::mpsc::channel;
+use std::thread;
+use std::time::Duration;
+
 use common::settings;
 use loomflow_amqp::*;
 use loomflow_test_servers::broker::{Message, message};
@@ -15,6 +19,9 @@
 /// Longer than the exchange of some frames and a reconnect, ms.
 const RECONNECT_MS: f64 = 10_000.0;
 
+/// Timeout of a step that must return. Only a failing test takes this long.
+const RETURN_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Where messages are dead-lettered.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum DeadLetters {
@@ -300,3 +307,26 @@
         assert_eq!(simulation.runs["a"], 1);
     }
 }
+
+/// Guards against a server that does nothing any more because a step falls before a publish is due, into its microsecond.
+#[test]
+fn a_step_in_the_microsecond_of_a_deadline_returns() {
+    let (sender, receiver) = channel();
+    // Left running if the step does not return.
+    thread::spawn(move || {
+        let mut simulation = simulation(DeadLetters::Configured, |_| {});
+        submit(&mut simulation, "a", "replies");
+        simulation.now += 0.0006;
+        simulation.broker.faults.nack = 1;
+        run(&mut simulation, true);
+        // The reply is rejected at once and due again 200 ms later.
+        simulation.elapse(10.0);
+        assert_eq!(simulation.broker.faults.nack, 0);
+        simulation.now += 200.0 - 0.0004;
+        simulation.advance(0);
+        simulation.elapse(1_000.0);
+        let _ = sender.send(results(&mut simulation));
+    });
+    let results = receiver.recv_timeout(RETURN_TIMEOUT).expect("each step returns");
+    assert_eq!(results, (served(), vec![]));
+}
