Compare response times in microseconds as their checks are, so that a batch returns

What callers and operators would see: the server's thread loops without end, so that no request is answered.

The checks of requests are kept in microseconds, rounded down, and whether a response is due was decided by the exact time. A batch in the microsecond of the last check of a request, but before it, scheduled the check again for now, and took it again.

Change: whether a response is due is decided in whole microseconds, too. Such a check is then always either the response or scheduled for a later microsecond. A response is sent up to 1 µs earlier than before.

Evidence: `a_batch_in_the_microsecond_of_the_last_check_returns` timed out before and passes. The package's tests pass.

--- a/src/controller/deadlines.rs
+++ b/src/controller/deadlines.rs
@@ -42,6 +42,12 @@
         deadline - self.margin
     }
 
+    /// Whether the response to a request with this deadline is due. Compared in whole microseconds as the
+    /// checks are, because a check that is due before its response would be scheduled again for now.
+    pub(super) fn is_response_due(&self, deadline: Millis, now: Millis) -> bool {
+        micros(now) >= micros(self.respond_by(deadline))
+    }
+
     pub(super) fn schedule(&mut self, at: Millis, id: RequestId) {
         self.checks.insert(Check { at: micros(at), id });
     }
--- a/src/controller/deadlines/tests.rs
+++ b/src/controller/deadlines/tests.rs
@@ -13,6 +13,14 @@
     assert_eq!(deadlines.pop_due(30.0), None);
 }
 
+#[test]
+fn response_is_due_in_the_microsecond_of_its_check() {
+    let deadlines = Deadlines::new(5.0);
+    assert!(!deadlines.is_response_due(1000.0006, 939.9996));
+    assert!(deadlines.is_response_due(1000.0006, 940.0002));
+    assert!(deadlines.is_response_due(1000.0006, 940.0006));
+}
+
 #[test]
 fn queued_request_is_checked_when_it_would_miss_its_objective() {
     assert_eq!(next_queue_check(0.0, 800.0, 300.0, 900.0), 500.0);
--- a/src/controller/responses.rs
+++ b/src/controller/responses.rs
@@ -24,7 +24,7 @@
         let Some(request) = self.requests.get(id).filter(|request| !request.is_resolved) else { return };
         let is_queued = request.stage == RequestStage::Queued;
         let respond_by = self.deadlines.respond_by(request.deadline);
-        if self.now >= respond_by {
+        if self.deadlines.is_response_due(request.deadline, self.now) {
             self.shed(id, RejectionScope::ThisServer, out);
         } else if is_queued && self.should_shed(request, 0.0) {
             self.shed(id, RejectionScope::AllServers, out);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,9 +2,17 @@
 //! concurrency) and against failures found in benchmarks.
 
 mod common;
+
+use std::sync::mpsc::channel;
+use std::thread;
+use std::time::Duration;
+
 use common::*;
 use loomflow::interface::*;
 
+/// Timeout of a batch that must return. Only a failing test takes this long.
+const RETURN_TIMEOUT: Duration = Duration::from_secs(10);
+
 // ---- Rule 1: one response in time ----
 
 #[test]
@@ -47,6 +55,23 @@
     assert!(is_rejected(&driver.event(Event::RequestArrived(request)), 1));
 }
 
+/// Guards against a batch that does not return because it falls before the last check of a request, into its microsecond.
+#[test]
+fn a_batch_in_the_microsecond_of_the_last_check_returns() {
+    let (sender, receiver) = channel();
+    // Left running if the batch does not return.
+    thread::spawn(move || {
+        let mut driver = Driver::new(settings());
+        driver.now = 1_000_000.0004;
+        driver.event(Event::RequestArrived(arrival(1, UNSAFE)));
+        // The response is due 60 ms before the timeout of 8,000 ms.
+        driver.now = 1_007_940.0002;
+        let _ = sender.send(driver.batch(vec![]));
+    });
+    let actions = receiver.recv_timeout(RETURN_TIMEOUT).expect("the batch returns");
+    assert!(has_response(&actions, 1));
+}
+
 #[test]
 fn requests_in_calls_and_duplicates_get_a_response_in_time() {
     let mut driver = Driver::new(settings());
