--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -62,10 +62,10 @@
     // Left running if the batch does not return.
     thread::spawn(move || {
         let mut driver = Driver::new(settings());
-        driver.now = 1_000_000.0004;
+        driver.now = 1_000_000.000_4;
         driver.event(Event::RequestArrived(arrival(1, UNSAFE)));
         // The response is due 60 ms before the timeout of 8,000 ms.
-        driver.now = 1_007_940.0002;
+        driver.now = 1_007_940.000_2;
         let _ = sender.send(driver.batch(vec![]));
     });
     let actions = receiver.recv_timeout(RETURN_TIMEOUT).expect("the batch returns");
